--- a/src/bin/sillspread-adapter.rs
+++ b/src/bin/roseproxy-adapter.rs
@@ -1,9 +1,9 @@
 //! Hosts balancer instances behind the simulator's wire on standard input and output.
 #![forbid(unsafe_code)]
 
-use sillspread::interface::{Action, Event, Micros, Server, Settings};
-use sillspread::policy::Balancer;
-use sillspread::wire::{parse, Dialect, Line, Names, LISTS};
+use roseproxy::interface::{Action, Event, Micros, Server, Settings};
+use roseproxy::policy::Balancer;
+use roseproxy::wire::{parse, Dialect, Line, Names, LISTS};
 use std::collections::HashMap;
 use std::io::{self, BufRead, Write};
 use std::process::ExitCode;
@@ -170,7 +170,7 @@
     match run() {
         Ok(()) => ExitCode::SUCCESS,
         Err(reason) => {
-            eprintln!("sillspread-adapter: {reason}");
+            eprintln!("roseproxy-adapter: {reason}");
             ExitCode::FAILURE
         }
     }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -6,8 +6,8 @@
 //! water-fill over late queue reports; see `docs/design.md` for the source and the changes.
 //!
 //! ```
-//! use sillspread::interface::*;
-//! use sillspread::policy::Balancer;
+//! use roseproxy::interface::*;
+//! use roseproxy::policy::Balancer;
 //!
 //! let mut settings = Settings::default();
 //! settings.classes.push(Class { aim: 100_000, give_up: 400_000, ..Class::default() });
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -1,8 +1,8 @@
 //! Drives one balancer event by event.
 #![allow(dead_code)]
 
-use sillspread::interface::*;
-use sillspread::policy::Balancer;
+use roseproxy::interface::*;
+use roseproxy::policy::Balancer;
 
 pub const START: Micros = 50_000_000;
 
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -3,7 +3,7 @@
 
 mod common;
 use common::*;
-use sillspread::interface::*;
+use roseproxy::interface::*;
 
 const SAFE: ClassId = 0;
 const UNSAFE: ClassId = 1;
@@ -249,7 +249,7 @@
         // The driver's own first list has set a timer already; one more before the call sets none.
         assert!(first.is_empty());
         let mut d =
-            Driver { balancer: sillspread::policy::Balancer::new(settings.clone(), seed, START), now: START };
+            Driver { balancer: roseproxy::policy::Balancer::new(settings.clone(), seed, START), now: START };
         let (token, after) = timers(&d.list(Update::Complete, &[server(1)]))[0];
         assert!(after <= 2_000_000);
         delays.push(after);
--- a/tests/wire.rs
+++ b/tests/wire.rs
@@ -12,7 +12,7 @@
 "give_up": 1200000, "name": "put", "worth": 2.0}], "scoring_mix": {"worst_class": 0.3}}"#;
 
 fn run(input: &str) -> Output {
-    let mut child = Command::new(env!("CARGO_BIN_EXE_sillspread-adapter"))
+    let mut child = Command::new(env!("CARGO_BIN_EXE_roseproxy-adapter"))
         .stdin(Stdio::piped())
         .stdout(Stdio::piped())
         .stderr(Stdio::piped())
