--- a/src/interface.rs
+++ b/src/interface.rs
@@ -73,6 +73,25 @@
     pub connection: f64,
 }
 
+/// What holds for the connections of an instance; the host's business, not the module's.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Network {
+    /// A server closes a connection that stood idle for this long.
+    pub conn_idle: Micros,
+    /// A connection not made after this is none.
+    pub connect_timeout: Micros,
+    /// Requests that an instance may hold open.
+    pub max_open: usize,
+    /// Nothing new may go to a server this long after word of its drain or end.
+    pub drain_grace: Micros,
+}
+
+impl Default for Network {
+    fn default() -> Self {
+        Network { conn_idle: 5_000_000, connect_timeout: 250_000, max_open: 20_000, drain_grace: 1_500_000 }
+    }
+}
+
 /// What an instance is told at its start.
 #[derive(Clone, Debug)]
 pub struct Settings {
@@ -112,6 +131,8 @@
     pub warm_up: Micros,
     /// A cold server sent more than this multiple of its present capacity falls over.
     pub fall_multiple: f64,
+    /// Figures for the host's connections.
+    pub network: Network,
 }
 
 impl Default for Settings {
@@ -135,6 +156,7 @@
             cold_from: 1.0,
             warm_up: 0,
             fall_multiple: 2.0,
+            network: Network::default(),
         }
     }
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -24,5 +24,9 @@
 
 pub mod interface;
 pub mod policy;
+pub mod program;
+pub mod protocol;
+pub mod routing;
 mod state;
+pub mod transport;
 pub mod wire;
--- /dev/null
+++ b/src/program/clock.rs
@@ -0,0 +1,56 @@
+//! The one clock of the program.
+
+use crate::routing::time::Now;
+use std::cell::Cell;
+use std::rc::Rc;
+use std::time::{SystemTime, UNIX_EPOCH};
+use tokio::time::Instant;
+
+/// Milliseconds since the Unix epoch, which every machine of the platform reads alike. It takes the
+/// system's time once and then counts on by itself, so that it never goes back.
+#[derive(Clone, Debug)]
+pub enum Clock {
+    /// The system's.
+    System {
+        /// When it was started.
+        origin: Instant,
+        /// What the system's clock said then.
+        epoch: f64,
+    },
+    /// One that stands until it is set.
+    Manual(Rc<Cell<f64>>),
+}
+
+impl Clock {
+    /// A running clock.
+    pub fn system() -> Clock {
+        let epoch = SystemTime::now().duration_since(UNIX_EPOCH).map_or(0.0, |d| d.as_secs_f64() * 1000.0);
+        Clock::System { origin: Instant::now(), epoch }
+    }
+
+    /// A clock that stands at this time.
+    pub fn manual(millis: f64) -> Clock {
+        Clock::Manual(Rc::new(Cell::new(millis)))
+    }
+
+    /// The time.
+    pub fn now(&self) -> f64 {
+        match self {
+            Clock::System { origin, epoch } => epoch + origin.elapsed().as_secs_f64() * 1000.0,
+            Clock::Manual(at) => at.get(),
+        }
+    }
+
+    /// Sets a clock that stands; a running one goes its own way.
+    pub fn set(&self, millis: f64) {
+        if let Clock::Manual(at) = self {
+            at.set(millis);
+        }
+    }
+
+    /// What the lower layers read it by.
+    pub fn reader(&self) -> Now {
+        let clock = self.clone();
+        Rc::new(move || clock.now())
+    }
+}
--- /dev/null
+++ b/src/program/config.rs
@@ -0,0 +1,91 @@
+//! The one place where configuration is read, checked and given defaults.
+
+use crate::interface::Settings;
+use crate::protocol::discovery::{self, Listing};
+use crate::wire::{read_settings, Dialect};
+use serde_json::Value;
+use std::net::SocketAddr;
+
+/// Fewest sockets that serving works with.
+const FEWEST_SOCKETS: u64 = 64;
+/// Sockets where the configuration sets no limit.
+const USUAL_SOCKETS: u64 = 1024;
+
+/// What a sidecar is told.
+#[derive(Debug)]
+pub struct Config {
+    /// Its name, the same after a restart.
+    pub name: String,
+    /// Where clients connect.
+    pub listen: SocketAddr,
+    /// Where discovery is.
+    pub discovery: SocketAddr,
+    /// For random numbers; new with each start.
+    pub seed: u64,
+    /// Descriptors that it may hold.
+    pub sockets: usize,
+    /// The target group as it was known last, where it was.
+    pub known: Option<Listing>,
+    /// The platform's figures.
+    pub settings: Settings,
+    /// How the platform names classes.
+    pub dialect: Dialect,
+}
+
+impl Config {
+    /// Reads the file that `LB_CONFIG` names; `LB_NAME`, `LB_LISTEN` and `LB_DISCOVERY` stand in for
+    /// keys that it lacks.
+    pub fn load(variable: impl Fn(&str) -> Option<String>) -> Result<Config, String> {
+        let path = variable("LB_CONFIG").ok_or("LB_CONFIG is not set")?;
+        let text = std::fs::read_to_string(&path).map_err(|e| format!("LB_CONFIG: {path}: {e}"))?;
+        Config::read(&text, variable)
+    }
+
+    /// Reads a configuration's text.
+    pub fn read(text: &str, variable: impl Fn(&str) -> Option<String>) -> Result<Config, String> {
+        let all: Value = serde_json::from_str(text).map_err(|e| format!("LB_CONFIG is not JSON: {e}"))?;
+        if !all.is_object() {
+            return Err("LB_CONFIG is no JSON object".into());
+        }
+        let text = |key: &str, stand_in: &str| match all.get(key) {
+            Some(value) => value.as_str().map(str::to_owned).ok_or_else(|| format!("{key} is not a text")),
+            None => variable(stand_in).ok_or_else(|| format!("{key} is missing, and {stand_in} is not set")),
+        };
+        let address = |key: &str, stand_in: &str| {
+            let text = text(key, stand_in)?;
+            text.parse().map_err(|_| format!("{key} is not an address with a port: {text}"))
+        };
+        let settings = all.get("settings").ok_or("settings is missing")?;
+        let (settings, dialect) = read_settings(settings)?;
+        Ok(Config {
+            name: text("name", "LB_NAME")?,
+            listen: address("listen", "LB_LISTEN")?,
+            discovery: address("discovery", "LB_DISCOVERY")?,
+            seed: seed(&all)?,
+            sockets: sockets(&all)?,
+            known: match all.get("known") {
+                None | Some(Value::Null) => None,
+                Some(known) => Some(discovery::from_json(known).map_err(|e| format!("known: {e}"))?),
+            },
+            settings,
+            dialect,
+        })
+    }
+}
+
+fn seed(all: &Value) -> Result<u64, String> {
+    let text = all.get("seed").ok_or("seed is missing")?;
+    let text = text.as_str().ok_or("seed is not a text")?;
+    u64::from_str_radix(text, 16).map_err(|_| format!("seed is not a hexadecimal number: {text}"))
+}
+
+fn sockets(all: &Value) -> Result<usize, String> {
+    match all.get("limits").and_then(|limits| limits.get("sockets")) {
+        None => Ok(USUAL_SOCKETS as usize),
+        Some(sockets) => sockets
+            .as_u64()
+            .filter(|n| *n >= FEWEST_SOCKETS)
+            .map(|n| n.min(1 << 20) as usize)
+            .ok_or_else(|| format!("limits.sockets is not a whole number from {FEWEST_SOCKETS}")),
+    }
+}
--- /dev/null
+++ b/src/routing/book.rs
@@ -0,0 +1,84 @@
+//! Stage 6: what is counted of all that.
+
+use super::flow::Answer;
+use crate::interface::Outcome;
+
+/// Counts since the start.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Book {
+    /// Flows taken in.
+    pub taken: u64,
+    /// Flows answered with a target's body.
+    pub served: u64,
+    /// Flows refused, those turned back included.
+    pub refused: u64,
+    /// Flows failed.
+    pub failed: u64,
+    /// Flows whose client left first.
+    pub gone: u64,
+    /// Flows turned back before the module saw them.
+    pub turned_back: u64,
+    /// Flows that the guard had to answer.
+    pub overdue: u64,
+    /// Forwards sent.
+    pub forwards: u64,
+    /// Forwards by outcome, in the order of [`OUTCOMES`].
+    pub outcomes: [u64; 8],
+    /// Probes sent.
+    pub probes: u64,
+    /// Probes that brought nothing.
+    pub probes_lost: u64,
+    /// Lists and changes taken over.
+    pub lists: u64,
+    /// Failures of discovery told to the module.
+    pub list_failures: u64,
+}
+
+/// The outcomes with the names that they are counted under.
+pub const OUTCOMES: [(Outcome, &str); 8] = [
+    (Outcome::Served, "served"),
+    (Outcome::Error, "error"),
+    (Outcome::Rejected, "rejected"),
+    (Outcome::TimedOut, "timed_out"),
+    (Outcome::Unreachable, "unreachable"),
+    (Outcome::Broken, "broken"),
+    (Outcome::Cancelled, "cancelled"),
+    (Outcome::NotSent, "not_sent"),
+];
+
+impl Book {
+    pub(super) fn answered(&mut self, answer: &Answer) {
+        match answer {
+            Answer::Served(_) => self.served += 1,
+            Answer::Refused { .. } => self.refused += 1,
+            Answer::Failed => self.failed += 1,
+        }
+    }
+
+    pub(super) fn ended(&mut self, outcome: Outcome) {
+        if let Some(at) = OUTCOMES.iter().position(|(o, _)| *o == outcome) {
+            self.outcomes[at] += 1;
+        }
+    }
+
+    /// Every count with its name.
+    pub fn lines(&self) -> Vec<(String, u64)> {
+        let plain = [
+            ("flows_taken", self.taken),
+            ("flows_served", self.served),
+            ("flows_refused", self.refused),
+            ("flows_failed", self.failed),
+            ("flows_gone", self.gone),
+            ("flows_turned_back", self.turned_back),
+            ("flows_overdue", self.overdue),
+            ("forwards_sent", self.forwards),
+            ("probes_sent", self.probes),
+            ("probes_lost", self.probes_lost),
+            ("discovery_lists", self.lists),
+            ("discovery_failures", self.list_failures),
+        ];
+        let outcomes = OUTCOMES.iter().zip(self.outcomes);
+        let plain = plain.into_iter().map(|(name, count)| (name.to_owned(), count));
+        plain.chain(outcomes.map(|((_, name), count)| (format!("forwards_{name}"), count))).collect()
+    }
+}
--- /dev/null
+++ b/src/routing/mod.rs
@@ -0,0 +1,140 @@
+//! Routing: a thin host round the decision module.
+//!
+//! [`Host`] owns the [`Balancer`], the open flows, the forwards and the timers. A front (today the
+//! platform's HTTP) tells it what happened; it turns that into the module's events, carries out the
+//! actions in order, and leaves [`Order`]s for the network. It does no I/O and knows no protocol, so
+//! a second front can go through the same decisions and rules. A flow passes the stages [`take_in`],
+//! [`admit`], [`route`], [`send`], [`relay`] and [`book`], a file each.
+
+pub mod admit;
+pub mod book;
+pub mod flow;
+pub mod relay;
+pub mod route;
+pub mod send;
+pub mod take_in;
+pub mod time;
+mod timers;
+
+use crate::interface::{Action, Micros, Outcome, Readiness, ServerId, Settings};
+use crate::policy::Balancer;
+use book::Book;
+use flow::{FlowId, ForwardId, Order, Target};
+use std::collections::{HashMap, VecDeque};
+use timers::{Due, Timers};
+
+/// Kept back from the client's time, so that the answer's last byte is there before it gives up (ms).
+pub const SPARE: f64 = 20.0;
+/// How long a probe may take (ms): a report that comes later tells nothing of now.
+pub const PROBE_PATIENCE: f64 = 300.0;
+
+#[derive(Debug)]
+struct Flow {
+    /// When its answer must be out, in clock time.
+    deadline: f64,
+    /// Forwards sent so far.
+    attempts: usize,
+}
+
+#[derive(Debug)]
+struct Forward {
+    target: ServerId,
+    sent: f64,
+}
+
+#[derive(Debug)]
+struct Member {
+    target: Target,
+    /// When this instance was told that it wants nothing new.
+    leaving_since: Option<f64>,
+    /// Number and time of the probe that is out.
+    probe: Option<(u64, f64)>,
+}
+
+/// What routing itself makes happen while it carries out actions; told to the module afterwards.
+#[derive(Debug)]
+struct Ending {
+    id: ForwardId,
+    target: ServerId,
+    outcome: Outcome,
+    elapsed: f64,
+}
+
+/// The host of one instance of the module.
+#[derive(Debug)]
+pub struct Host {
+    balancer: Balancer,
+    settings: Settings,
+    flows: HashMap<FlowId, Flow>,
+    forwards: HashMap<ForwardId, Forward>,
+    members: HashMap<ServerId, Member>,
+    timers: Timers,
+    endings: VecDeque<Ending>,
+    actions: Vec<Action>,
+    orders: VecDeque<Order>,
+    last_flow: FlowId,
+    last_probe: u64,
+    /// What came in, went out and was answered.
+    pub book: Book,
+}
+
+impl Host {
+    /// A host that knows no target yet.
+    pub fn new(settings: Settings, seed: u64, now: f64) -> Host {
+        Host {
+            balancer: Balancer::new(settings.clone(), seed, time::to_micros(now)),
+            settings,
+            flows: HashMap::new(),
+            forwards: HashMap::new(),
+            members: HashMap::new(),
+            timers: Timers::default(),
+            endings: VecDeque::new(),
+            actions: Vec::new(),
+            orders: VecDeque::new(),
+            last_flow: 0,
+            last_probe: 0,
+            book: Book::default(),
+        }
+    }
+
+    /// The next thing to do on the network, in order.
+    pub fn next_order(&mut self) -> Option<Order> {
+        self.orders.pop_front()
+    }
+
+    /// When [`Host::tick`] is next wanted.
+    pub fn next_due(&self) -> Option<f64> {
+        self.timers.next()
+    }
+
+    /// Lets every timer that is due go off.
+    pub fn tick(&mut self, now: f64) {
+        while let Some(due) = self.timers.take(now) {
+            match due {
+                Due::Module(token) => self.module_timer(now, token),
+                Due::Forward(id) => self.forward_overdue(now, id),
+                Due::Flow(id) => self.flow_overdue(now, id),
+                Due::Probe(target, number) => self.probe_overdue(now, target, number),
+            }
+        }
+    }
+
+    /// Flows that have no answer yet.
+    pub fn open_flows(&self) -> usize {
+        self.flows.len()
+    }
+
+    /// Whether a request would find a target in service.
+    pub fn can_serve(&self) -> bool {
+        self.members.values().any(|m| m.target.readiness == Readiness::Ready)
+    }
+
+    /// Times and figures that the platform set.
+    pub fn settings(&self) -> &Settings {
+        &self.settings
+    }
+}
+
+fn micros_since(then: f64, now: f64) -> Micros {
+    time::to_micros((now - then).max(0.0))
+}
--- /dev/null
+++ b/src/routing/send.rs
@@ -0,0 +1,85 @@
+//! Stage 4: forwards go out, and end exactly once each.
+
+use super::flow::{Answer, FlowId, ForwardEnd, ForwardId, Order};
+use super::timers::Due;
+use super::{micros_since, time, Ending, Forward, Host};
+use crate::interface::{Event, Load, Micros, Outcome, Readiness, ServerId};
+
+impl Host {
+    pub(super) fn send(&mut self, now: f64, flow: FlowId, target: ServerId, timeout: Option<Micros>) {
+        let Some(open) = self.flows.get_mut(&flow) else {
+            let id = ForwardId { flow, attempt: 0 };
+            return self.end_unsent(id, target);
+        };
+        let id = ForwardId { flow, attempt: open.attempts };
+        open.attempts += 1;
+        let left = open.deadline - now;
+        let patience = timeout.map_or(left, |t| time::to_millis(t).min(left));
+        // Never more attempts than the platform allows, none without time, none into a drain.
+        let spent = open.attempts > self.settings.max_attempts || patience <= 0.0;
+        let address = self.members.get(&target).map(|m| m.target.address);
+        let (Some(address), false, true) = (address, spent, self.takes_work(now, target)) else {
+            return self.end_unsent(id, target);
+        };
+        self.book.forwards += 1;
+        self.forwards.insert(id, Forward { target, sent: now });
+        self.timers.set(now + patience, Due::Forward(id));
+        self.orders.push_back(Order::Forward { id, target, address, patience });
+    }
+
+    fn end_unsent(&mut self, id: ForwardId, target: ServerId) {
+        self.endings.push_back(Ending { id, target, outcome: Outcome::NotSent, elapsed: 0.0 });
+    }
+
+    /// Whether a target may be sent something new. Word of its drain may have come between a decision
+    /// and the send: within the grace that is allowed, and after it never.
+    fn takes_work(&self, now: f64, target: ServerId) -> bool {
+        let grace = time::to_millis(self.settings.network.drain_grace) / 2.0;
+        self.members.get(&target).is_some_and(|m| match m.target.readiness {
+            Readiness::Ready => true,
+            Readiness::Draining => m.leaving_since.is_some_and(|since| now - since < grace),
+            Readiness::Gone => false,
+        })
+    }
+
+    /// Asked right before a forward's first byte: false where it shall not be written any more. The
+    /// front then reports it as [`Outcome::NotSent`].
+    pub fn may_write(&self, now: f64, id: ForwardId) -> bool {
+        self.forwards.get(&id).is_some_and(|f| self.takes_work(now, f.target))
+    }
+
+    /// A forward has ended on the network. One that was given up before is heard no more.
+    pub fn forward_ended(&mut self, now: f64, id: ForwardId, end: ForwardEnd, load: Option<Load>) {
+        let Some(forward) = self.forwards.remove(&id) else { return };
+        let outcome = end.outcome();
+        self.book.ended(outcome);
+        if let ForwardEnd::Served(body) = end {
+            self.answer(id.flow, Answer::Served(body));
+        }
+        let event = Event::Ended {
+            request: id.flow,
+            attempt: id.attempt,
+            server: forward.target,
+            outcome,
+            elapsed: micros_since(forward.sent, now),
+            finished: !self.flows.contains_key(&id.flow),
+            load,
+        };
+        self.tell(now, event);
+    }
+
+    pub(super) fn forward_overdue(&mut self, now: f64, id: ForwardId) {
+        if self.forwards.contains_key(&id) {
+            self.orders.push_back(Order::GiveUp(id));
+            self.forward_ended(now, id, ForwardEnd::Lost(Outcome::TimedOut), None);
+        }
+    }
+
+    pub(super) fn cancel(&mut self, now: f64, flow: FlowId, attempt: usize) {
+        let id = ForwardId { flow, attempt };
+        let Some(forward) = self.forwards.remove(&id) else { return };
+        self.orders.push_back(Order::GiveUp(id));
+        let (target, elapsed) = (forward.target, now - forward.sent);
+        self.endings.push_back(Ending { id, target, outcome: Outcome::Cancelled, elapsed });
+    }
+}
--- /dev/null
+++ b/src/routing/take_in.rs
@@ -0,0 +1,97 @@
+//! Stage 1: a request becomes a flow, and the list becomes the target group.
+
+use super::flow::{FlowId, NewFlow, Target};
+use super::{time, Flow, Host, Member, SPARE};
+use crate::interface::{Event, Readiness, Request, Server, Update};
+
+impl Host {
+    /// Takes a request that a client sent whole. From here on it is owed exactly one answer, which
+    /// comes as an [`super::flow::Order::Answer`] with the id returned.
+    pub fn take_in(&mut self, now: f64, new: NewFlow) -> FlowId {
+        self.last_flow += 1;
+        let id = self.last_flow;
+        self.book.taken += 1;
+        let time_left = new.time_left - SPARE;
+        self.flows.insert(id, Flow { deadline: now + time_left, attempts: 0 });
+        if self.admits(id, time_left) {
+            let request = Request {
+                id,
+                class: new.class,
+                work: None,
+                key: new.key,
+                time_left: time::to_micros(time_left),
+            };
+            self.owe_by(id);
+            self.tell(now, Event::Request(request));
+        }
+        id
+    }
+
+    /// The client of a flow has left: nothing is owed any more, and its forwards are called off.
+    pub fn client_gone(&mut self, now: f64, id: FlowId) {
+        // An answer may have won the race; then the flow is not there any more.
+        if self.flows.remove(&id).is_some() {
+            self.book.gone += 1;
+            self.tell(now, Event::Expired { request: id });
+        }
+    }
+
+    /// News of the target group. Only a complete list removes those that it does not name.
+    pub fn targets(&mut self, now: f64, update: Update, targets: &[Target]) {
+        self.book.lists += 1;
+        if update == Update::Complete {
+            let named: std::collections::HashSet<_> = targets.iter().map(|t| t.id).collect();
+            let absent = self.members.values_mut().filter(|m| !named.contains(&m.target.id));
+            absent.for_each(|m| m.leave(now, Readiness::Gone));
+        }
+        for target in targets {
+            let member = self.members.entry(target.id).or_insert_with(|| Member {
+                target: target.clone(),
+                leaving_since: None,
+                probe: None,
+            });
+            let readiness = target.readiness;
+            member.target = target.clone();
+            match readiness {
+                Readiness::Ready => member.leaving_since = None,
+                Readiness::Draining | Readiness::Gone => member.leave(now, readiness),
+            }
+        }
+        let servers: Vec<Server> = targets.iter().map(entry).collect();
+        self.tell(now, Event::Servers { update, servers: &servers });
+        self.forget_gone();
+    }
+
+    /// A call to discovery failed or the watch broke; the list in hand stays.
+    pub fn targets_failed(&mut self, now: f64) {
+        self.book.list_failures += 1;
+        self.tell(now, Event::Servers { update: Update::Failed, servers: &[] });
+    }
+
+    /// Drops members that are gone and idle, or the map would grow with every machine ever seen.
+    fn forget_gone(&mut self) {
+        let busy: std::collections::HashSet<_> = self.forwards.values().map(|f| f.target).collect();
+        self.members
+            .retain(|id, m| m.target.readiness != Readiness::Gone || m.probe.is_some() || busy.contains(id));
+    }
+}
+
+impl Member {
+    fn leave(&mut self, now: f64, readiness: Readiness) {
+        self.target.readiness = readiness;
+        // The grace counts from the first word of it.
+        self.leaving_since.get_or_insert(now);
+    }
+}
+
+fn entry(target: &Target) -> Server {
+    Server {
+        id: target.id,
+        zone: target.zone,
+        cell: target.cell,
+        kind: target.kind,
+        power: target.power,
+        started_at: target.started_at.map(time::to_micros),
+        readiness: target.readiness,
+    }
+}
--- /dev/null
+++ b/src/routing/time.rs
@@ -0,0 +1,17 @@
+//! The one place where the program's milliseconds become the module's microseconds.
+
+use crate::interface::Micros;
+use std::rc::Rc;
+
+/// Reads the program's clock: milliseconds since the Unix epoch, never going back.
+pub type Now = Rc<dyn Fn() -> f64>;
+
+/// Milliseconds to the module's microseconds.
+pub fn to_micros(millis: f64) -> Micros {
+    (millis * 1000.0) as Micros // a cast saturates, and takes NaN for 0
+}
+
+/// The module's microseconds to milliseconds.
+pub fn to_millis(micros: Micros) -> f64 {
+    micros as f64 / 1000.0
+}
--- /dev/null
+++ b/src/transport/connection.rs
@@ -0,0 +1,118 @@
+//! One connection to a target: hyper's client, with the bytes of each request counted.
+
+use super::meter::{Meter, Metered};
+use super::Task;
+use crate::protocol::request::Outgoing;
+use crate::protocol::BODY_LIMIT;
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Incoming;
+use hyper::client::conn::http1::{handshake, SendRequest};
+use hyper::{HeaderMap, Response, StatusCode};
+use hyper_util::rt::TokioIo;
+use tokio::io::{AsyncRead, AsyncWrite};
+
+/// Where a connection stands.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum State {
+    /// Open, with nothing on it: the next request may go out.
+    Idle,
+    /// A request is on it.
+    Busy {
+        /// Whether its last byte is written: from there on it may run.
+        last_byte_written: bool,
+    },
+    /// Nothing goes out on it any more.
+    Closed,
+}
+
+/// How an exchange ended.
+#[derive(Debug)]
+pub enum Exchange {
+    /// A whole answer came.
+    Answered(StatusCode, HeaderMap, Bytes),
+    /// The connection broke, or what came was no answer.
+    Broke {
+        /// Whether the request's last byte had been written.
+        last_byte_written: bool,
+    },
+}
+
+/// A connection to a target. Dropping it closes it, whatever is on it.
+#[derive(Debug)]
+pub struct Connection {
+    sender: SendRequest<Full<Bytes>>,
+    meter: Meter,
+    /// The count at which the present request is written whole, while one is out.
+    whole_at: Option<u64>,
+    _driver: Task,
+}
+
+impl Connection {
+    /// Starts speaking on an open stream.
+    pub async fn start<S>(stream: S) -> Result<Connection, hyper::Error>
+    where
+        S: AsyncRead + AsyncWrite + Unpin + 'static,
+    {
+        let (stream, meter) = Metered::new(stream);
+        let (sender, driver) = handshake(TokioIo::new(stream)).await?;
+        // What goes wrong on it shows in the exchange, or as a closed connection.
+        let driver = tokio::task::spawn_local(async move { drop(driver.await) });
+        Ok(Connection { sender, meter, whole_at: None, _driver: driver.into() })
+    }
+
+    /// Where it stands.
+    pub fn state(&self) -> State {
+        match self.whole_at {
+            Some(_) => State::Busy { last_byte_written: self.last_byte_written() },
+            None if self.sender.is_closed() => State::Closed,
+            None => State::Idle,
+        }
+    }
+
+    fn last_byte_written(&self) -> bool {
+        self.whole_at.is_some_and(|whole| self.meter.written() >= whole)
+    }
+
+    /// Sends a request and reads its answer whole. It is sent once: a connection that turns out to be
+    /// closed is an exchange that broke, with nothing sent again behind the caller's back.
+    pub async fn exchange(&mut self, outgoing: Outgoing) -> Exchange {
+        match self.send(outgoing).await {
+            Ok(answer) => self.read(answer).await,
+            Err(broke) => broke,
+        }
+    }
+
+    /// Sends a request and waits for the head of its answer, for answers that are streams.
+    pub async fn send(&mut self, outgoing: Outgoing) -> Result<Response<Incoming>, Exchange> {
+        // The driver may not have seen yet that the answer before was the last; without this, hyper
+        // would refuse a request that it could send.
+        if self.sender.ready().await.is_err() {
+            return Err(Exchange::Broke { last_byte_written: false });
+        }
+        self.whole_at = Some(self.meter.written() + outgoing.length);
+        let sent = self.sender.send_request(outgoing.request).await;
+        sent.map_err(|_| self.broke())
+    }
+
+    async fn read(&mut self, answer: Response<Incoming>) -> Exchange {
+        let (head, body) = answer.into_parts();
+        // Against a body without end: no more is read than the platform allows.
+        match Limited::new(body, BODY_LIMIT).collect().await {
+            Ok(body) => {
+                self.whole_at = None;
+                Exchange::Answered(head.status, head.headers, body.to_bytes())
+            }
+            Err(_) => self.broke(),
+        }
+    }
+
+    fn broke(&mut self) -> Exchange {
+        Exchange::Broke { last_byte_written: self.last_byte_written() }
+    }
+
+    /// Waits until the next request can go out; false where the connection has ended.
+    pub async fn settle(&mut self) -> bool {
+        self.whole_at.is_none() && self.sender.ready().await.is_ok()
+    }
+}
--- /dev/null
+++ b/src/transport/discovery.rs
@@ -0,0 +1,103 @@
+//! The watch on discovery.
+
+use super::gateway::{connect, count, Gateway};
+use super::length;
+use crate::protocol::discovery::{self, Listing};
+use crate::protocol::request::Outgoing;
+use crate::transport::connection::Exchange;
+use bytes::BytesMut;
+use http_body_util::BodyExt;
+use hyper::StatusCode;
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+/// Time for a connection to come up, and for an answer to begin: calls wait in turn there (ms).
+const CONNECT: f64 = 1_000.0;
+const ANSWER: f64 = 3_000.0;
+/// A watch beats every 2 s; without a word for this long it is dead (ms).
+const SILENCE: f64 = 3_000.0;
+/// Longest line that is read: against an object without end.
+const LONGEST_LINE: usize = 1 << 20;
+
+/// Keeps up with the target group.
+pub struct Watcher {
+    gateway: Rc<Gateway>,
+    address: SocketAddr,
+    /// The version in hand; `None` until the whole list has been fetched, so that it is asked for.
+    revision: Option<u64>,
+}
+
+impl Watcher {
+    /// A watcher of discovery at this address.
+    pub fn new(gateway: Rc<Gateway>, address: SocketAddr) -> Watcher {
+        Watcher { gateway, address, revision: None }
+    }
+
+    /// Watches whenever routing wants it, and tells it of failures; routing's timers, which the
+    /// module sets with jitter and ever longer, say when to try again. Runs as long as the program.
+    pub async fn run(mut self) {
+        loop {
+            self.gateway.watch_wanted().await;
+            // It only ever ends by failing.
+            self.watch().await;
+            self.gateway.targets_failed();
+        }
+    }
+
+    async fn watch(&mut self) -> Option<()> {
+        let host = self.address.to_string();
+        let mut connection = connect(self.address, CONNECT).await?;
+        if self.revision.is_none() {
+            let fetch = connection.exchange(Outgoing::get(discovery::LIST, &host));
+            match tokio::time::timeout(length(ANSWER), fetch).await.ok()? {
+                Exchange::Answered(StatusCode::OK, _, body) => self.take(&body),
+                _ => return None,
+            }
+        }
+        let path = discovery::watch_path(self.revision?);
+        let answer = connection.send(Outgoing::get(&path, &host));
+        let answer = tokio::time::timeout(length(ANSWER), answer).await.ok()?.ok()?;
+        if answer.status() != StatusCode::OK {
+            if answer.status().is_client_error() {
+                // It knows nothing of that version: begin anew from the whole list.
+                self.revision = None;
+            }
+            return None;
+        }
+        let (mut body, mut text) = (answer.into_body(), BytesMut::new());
+        loop {
+            let frame = tokio::time::timeout(length(SILENCE), body.frame()).await.ok()??.ok()?;
+            let Ok(data) = frame.into_data() else { continue };
+            text.extend_from_slice(&data);
+            while let Some(end) = text.iter().position(|b| *b == b'\n') {
+                let line = text.split_to(end + 1);
+                if !line.trim_ascii().is_empty() {
+                    self.take(&line);
+                }
+            }
+            if text.len() > LONGEST_LINE {
+                count(&self.gateway.traffic.bad_lists);
+                return None;
+            }
+        }
+    }
+
+    /// Takes over a list; what cannot be read is counted, and the list in hand stays.
+    fn take(&mut self, text: &[u8]) {
+        let traffic = &self.gateway.traffic;
+        match discovery::read(text) {
+            Ok(Listing { revision, update, targets, unread }) => {
+                traffic.bad_lists.set(traffic.bad_lists.get() + unread as u64);
+                self.revision = Some(revision);
+                self.gateway.targets(update, &targets);
+            }
+            Err(reason) => {
+                count(&traffic.bad_lists);
+                // Sparingly: the first of them tells what is wrong, the count tells how often.
+                if traffic.bad_lists.get() == 1 {
+                    eprintln!("roseproxy: discovery sent what is no list: {reason}");
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/transport/gateway.rs
@@ -0,0 +1,335 @@
+//! The joint between routing and the sockets.
+
+use super::budget::Budget;
+use super::connection::{Connection, Exchange};
+use super::pool::{Line, Pool};
+use super::{length, Task};
+use crate::interface::{Load, Outcome, ServerId, Update};
+use crate::protocol::request::{Classes, Outgoing, Passing};
+use crate::protocol::{load, outcome};
+use crate::routing::flow::{Answer, FlowId, ForwardEnd, ForwardId, NewFlow, Order, ProbeEnd, Target};
+use crate::routing::time::{to_millis, Now};
+use crate::routing::Host;
+use hyper::StatusCode;
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use tokio::net::TcpStream;
+use tokio::sync::{oneshot, Notify};
+
+/// How often idle connections are looked through (ms).
+const SWEEP: f64 = 250.0;
+
+/// What the sockets count.
+#[derive(Debug, Default)]
+pub struct Traffic {
+    /// Client connections accepted.
+    pub accepted: Cell<u64>,
+    /// Accepts that failed, as when descriptors ran out.
+    pub accept_errors: Cell<u64>,
+    /// Requests turned away with a 4xx.
+    pub malformed: Cell<u64>,
+    /// Connections opened to targets.
+    pub opened: Cell<u64>,
+    /// Requests sent on a kept connection.
+    pub reused: Cell<u64>,
+    /// Connections to targets that did not come up.
+    pub unreachable: Cell<u64>,
+    /// Reports that could not be read.
+    pub bad_reports: Cell<u64>,
+    /// Discovery lines and entries that could not be read.
+    pub bad_lists: Cell<u64>,
+}
+
+/// One more.
+pub(super) fn count(cell: &Cell<u64>) {
+    cell.set(cell.get() + 1);
+}
+
+#[derive(Debug)]
+struct Waiting {
+    passing: Rc<Passing>,
+    answer: oneshot::Sender<Answer>,
+}
+
+/// Carries out routing's orders on sockets and reports back.
+pub struct Gateway {
+    host: RefCell<Host>,
+    now: Now,
+    /// How requests name their classes.
+    pub classes: Classes,
+    /// What the sockets count.
+    pub traffic: Traffic,
+    pool: RefCell<Pool>,
+    targets: Budget,
+    connect_timeout: f64,
+    waiting: RefCell<HashMap<FlowId, Waiting>>,
+    forwards: RefCell<HashMap<ForwardId, Task>>,
+    probes: RefCell<HashMap<ServerId, Task>>,
+    /// When the timer task will wake, and how to wake it sooner.
+    armed: Cell<f64>,
+    rearm: Notify,
+    watch: Notify,
+}
+
+impl Gateway {
+    /// Joins a host with the network.
+    pub fn new(host: Host, classes: Classes, targets: Budget, now: Now) -> Rc<Gateway> {
+        let network = host.settings().network;
+        Rc::new(Gateway {
+            host: RefCell::new(host),
+            now,
+            classes,
+            traffic: Traffic::default(),
+            pool: RefCell::new(Pool::new(to_millis(network.conn_idle))),
+            targets,
+            connect_timeout: to_millis(network.connect_timeout),
+            waiting: RefCell::default(),
+            forwards: RefCell::default(),
+            probes: RefCell::default(),
+            armed: Cell::new(f64::INFINITY),
+            rearm: Notify::new(),
+            watch: Notify::new(),
+        })
+    }
+
+    /// The program's time.
+    pub fn now(&self) -> f64 {
+        (self.now)()
+    }
+
+    /// Takes in a flow; its answer comes on the channel.
+    pub fn take_in(self: &Rc<Self>, new: NewFlow, passing: Passing) -> (FlowId, oneshot::Receiver<Answer>) {
+        let (answer, receiver) = oneshot::channel();
+        let id = self.host.borrow_mut().take_in(self.now(), new);
+        self.waiting.borrow_mut().insert(id, Waiting { passing: Rc::new(passing), answer });
+        self.settle();
+        (id, receiver)
+    }
+
+    /// The client of a flow has left. Of one that has its answer this changes nothing.
+    pub fn client_gone(self: &Rc<Self>, id: FlowId) {
+        if self.waiting.borrow_mut().remove(&id).is_some() {
+            self.host.borrow_mut().client_gone(self.now(), id);
+            self.settle();
+        }
+    }
+
+    /// News of the target group.
+    pub fn targets(self: &Rc<Self>, update: Update, targets: &[Target]) {
+        self.host.borrow_mut().targets(self.now(), update, targets);
+        self.settle();
+    }
+
+    /// Discovery failed.
+    pub fn targets_failed(self: &Rc<Self>) {
+        self.host.borrow_mut().targets_failed(self.now());
+        self.settle();
+    }
+
+    /// Waits until routing wants to watch discovery.
+    pub async fn watch_wanted(&self) {
+        self.watch.notified().await;
+    }
+
+    /// Whether a request would find a target.
+    pub fn can_serve(&self) -> bool {
+        self.host.borrow().can_serve()
+    }
+
+    /// Flows without an answer.
+    pub fn open_flows(&self) -> usize {
+        self.host.borrow().open_flows()
+    }
+
+    /// All counts by name.
+    pub fn counts(&self) -> Vec<(String, u64)> {
+        let t = &self.traffic;
+        let mut lines = self.host.borrow().book.lines();
+        let sockets = [
+            ("clients_accepted", t.accepted.get()),
+            ("accept_errors", t.accept_errors.get()),
+            ("requests_malformed", t.malformed.get()),
+            ("targets_connected", t.opened.get()),
+            ("targets_reused", t.reused.get()),
+            ("targets_unreachable", t.unreachable.get()),
+            ("reports_unread", t.bad_reports.get()),
+            ("lists_unread", t.bad_lists.get()),
+            ("targets_idle", self.pool.borrow().len() as u64),
+            ("targets_open", self.targets.used() as u64),
+        ];
+        lines.extend(sockets.into_iter().map(|(name, count)| (name.to_owned(), count)));
+        lines
+    }
+
+    /// Lets routing's timers go off; runs as long as the program.
+    pub async fn run_timers(self: Rc<Self>) {
+        loop {
+            let due = self.host.borrow().next_due();
+            self.armed.set(due.unwrap_or(f64::INFINITY));
+            match due {
+                Some(due) => tokio::select! {
+                    () = tokio::time::sleep(length(due - self.now())) => {}
+                    () = self.rearm.notified() => {}
+                },
+                None => self.rearm.notified().await,
+            }
+            self.host.borrow_mut().tick(self.now());
+            self.settle();
+        }
+    }
+
+    /// Closes connections that stood idle for long; runs as long as the program.
+    pub async fn run_sweeps(self: Rc<Self>) {
+        loop {
+            tokio::time::sleep(length(SWEEP)).await;
+            self.pool.borrow_mut().sweep(self.now());
+        }
+    }
+
+    /// Carries out what routing has ordered, in order.
+    fn settle(self: &Rc<Self>) {
+        loop {
+            let order = self.host.borrow_mut().next_order();
+            match order {
+                Some(order) => self.carry_out(order),
+                None => break,
+            }
+        }
+        if self.host.borrow().next_due().is_some_and(|due| due < self.armed.get()) {
+            self.rearm.notify_one();
+        }
+    }
+
+    fn carry_out(self: &Rc<Self>, order: Order) {
+        match order {
+            Order::Forward { id, target, address, patience } => {
+                let passing = self.waiting.borrow().get(&id.flow).map(|w| w.passing.clone());
+                // Routing sends only for flows that it holds open, and those wait here.
+                let Some(passing) = passing else { return };
+                let until = self.now() + patience;
+                let task = self.clone().forward(id, target, address, until, passing);
+                self.forwards.borrow_mut().insert(id, tokio::task::spawn_local(task).into());
+            }
+            Order::GiveUp(id) => drop(self.forwards.borrow_mut().remove(&id)),
+            Order::Answer(id, answer) => {
+                let waiting = self.waiting.borrow_mut().remove(&id);
+                // A client that has left in this very moment hears nothing; that is no loss.
+                waiting.map(|w| w.answer.send(answer));
+            }
+            Order::Probe(target, address) => {
+                let task = self.clone().probe(target, address);
+                self.probes.borrow_mut().insert(target, tokio::task::spawn_local(task).into());
+            }
+            Order::GiveUpProbe(target) => drop(self.probes.borrow_mut().remove(&target)),
+            Order::CloseIdle(target) => self.pool.borrow_mut().close(target),
+            Order::Watch => self.watch.notify_one(),
+        }
+    }
+
+    async fn forward(
+        self: Rc<Self>,
+        id: ForwardId,
+        target: ServerId,
+        address: SocketAddr,
+        until: f64,
+        passing: Rc<Passing>,
+    ) {
+        let (end, load) = match self.line(target, address).await {
+            None => (outcome::of_break(false), None),
+            Some(line) => self.exchange(id, target, until, &passing, line).await,
+        };
+        self.host.borrow_mut().forward_ended(self.now(), id, end, load);
+        self.settle();
+        // Last, as it ends this very task.
+        self.forwards.borrow_mut().remove(&id);
+    }
+
+    async fn exchange(
+        self: &Rc<Self>,
+        id: ForwardId,
+        target: ServerId,
+        until: f64,
+        passing: &Passing,
+        mut line: Line,
+    ) -> (ForwardEnd, Option<Load>) {
+        let now = self.now();
+        if !self.host.borrow().may_write(now, id) {
+            self.keep(target, line);
+            return (ForwardEnd::Lost(Outcome::NotSent), None);
+        }
+        match line.connection.exchange(passing.to_target(until - now)).await {
+            Exchange::Answered(status, headers, body) => {
+                self.keep(target, line);
+                (outcome::of_answer(status, &headers, body), load::of_headers(&headers))
+            }
+            Exchange::Broke { last_byte_written } => (outcome::of_break(last_byte_written), None),
+        }
+    }
+
+    async fn probe(self: Rc<Self>, target: ServerId, address: SocketAddr) {
+        let mut end = ProbeEnd { outcome: Outcome::Unreachable, load: None };
+        if let Some(mut line) = self.line(target, address).await {
+            match line.connection.exchange(Outgoing::get("/stats", "origin.svc")).await {
+                Exchange::Answered(status, _, body) => {
+                    self.keep(target, line);
+                    end = self.read_probe(status, &body);
+                }
+                Exchange::Broke { .. } => end.outcome = Outcome::Broken,
+            }
+        }
+        self.host.borrow_mut().probe_ended(self.now(), target, end);
+        self.settle();
+        self.probes.borrow_mut().remove(&target);
+    }
+
+    fn read_probe(&self, status: StatusCode, body: &[u8]) -> ProbeEnd {
+        if status != StatusCode::OK {
+            return ProbeEnd { outcome: Outcome::Rejected, load: None };
+        }
+        let load = std::str::from_utf8(body).ok().and_then(load::read);
+        if load.is_none() {
+            count(&self.traffic.bad_reports);
+        }
+        ProbeEnd { outcome: Outcome::Served, load }
+    }
+
+    /// A connection to a target: a kept one, or a new one where the budget has room.
+    async fn line(&self, target: ServerId, address: SocketAddr) -> Option<Line> {
+        if let Some(line) = self.pool.borrow_mut().take(self.now(), target, address) {
+            count(&self.traffic.reused);
+            return Some(line);
+        }
+        let permit = self.targets.permit().or_else(|| {
+            self.pool.borrow_mut().evict();
+            self.targets.permit()
+        });
+        let line = match permit {
+            Some(permit) => connect(address, self.connect_timeout).await.map(|c| (c, permit)),
+            None => None,
+        };
+        count(if line.is_some() { &self.traffic.opened } else { &self.traffic.unreachable });
+        line.map(|(connection, permit)| Line { connection, address, permit })
+    }
+
+    /// Puts a connection back once it is ready for the next request.
+    fn keep(self: &Rc<Self>, target: ServerId, mut line: Line) {
+        let gateway = self.clone();
+        tokio::task::spawn_local(async move {
+            if line.connection.settle().await {
+                gateway.pool.borrow_mut().put(gateway.now(), target, line);
+            }
+        });
+    }
+}
+
+/// Opens a connection, within a time.
+pub(super) async fn connect(address: SocketAddr, within: f64) -> Option<Connection> {
+    let open = async {
+        let stream = TcpStream::connect(address).await.ok()?;
+        stream.set_nodelay(true).ok()?;
+        Connection::start(stream).await.ok()
+    };
+    tokio::time::timeout(length(within), open).await.ok().flatten()
+}
--- /dev/null
+++ b/src/transport/listener.rs
@@ -0,0 +1,214 @@
+//! The listener: the application's connections and the requests on them.
+
+use super::budget::{Budget, Permit};
+use super::gateway::{count, Gateway};
+use super::length;
+use crate::protocol::answer::{plain, to_client, turned_away, Reply};
+use crate::protocol::request::{oversized, Malformed, Passing};
+use crate::protocol::BODY_LIMIT;
+use crate::routing::flow::FlowId;
+use http_body_util::{BodyExt, Limited};
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper::{Request, StatusCode};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::convert::Infallible;
+use std::pin::pin;
+use std::rc::Rc;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::Notify;
+
+/// A request's head and body must be there this long after their first byte (ms): against clients
+/// that hold a connection with half a request.
+const READ_TIMEOUT: f64 = 10_000.0;
+/// Longest head that is read; a larger one gets a 431.
+const HEAD_LIMIT: usize = 16 * 1024;
+/// How long accepting rests after it failed (ms): against a busy loop while descriptors are out.
+const ACCEPT_REST: f64 = 20.0;
+
+/// How the listener takes new work.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Phase {
+    /// As usual.
+    Open,
+    /// Told to stop, while clients still come: as usual, but no longer ready.
+    Leaving,
+    /// Connections end with their present request.
+    Closing,
+}
+
+/// A client's connection, as the listener sees it.
+#[derive(Debug, Default)]
+struct Seat {
+    /// Since when it has had nothing to do; `None` while a request is on it.
+    idle_since: Cell<Option<f64>>,
+    close: Notify,
+}
+
+/// The client side.
+pub struct Listener {
+    gateway: Rc<Gateway>,
+    budget: Budget,
+    seats: RefCell<BTreeMap<u64, Rc<Seat>>>,
+    last: Cell<u64>,
+    freed: Notify,
+    phase: Cell<Phase>,
+    accepted_at: Cell<f64>,
+    /// Prints the counters.
+    counters: Box<dyn Fn() -> String>,
+}
+
+impl Listener {
+    /// A listener for this gateway's clients.
+    pub fn new(gateway: Rc<Gateway>, budget: Budget, counters: Box<dyn Fn() -> String>) -> Rc<Listener> {
+        let accepted_at = Cell::new(gateway.now());
+        Rc::new(Listener {
+            gateway,
+            budget,
+            seats: RefCell::default(),
+            last: Cell::new(0),
+            freed: Notify::new(),
+            phase: Cell::new(Phase::Open),
+            accepted_at,
+            counters,
+        })
+    }
+
+    /// Accepts connections as long as the program runs.
+    pub async fn run(self: Rc<Self>, socket: TcpListener) {
+        loop {
+            let permit = self.room().await;
+            match socket.accept().await {
+                Ok((stream, _)) => {
+                    count(&self.gateway.traffic.accepted);
+                    self.accepted_at.set(self.gateway.now());
+                    tokio::task::spawn_local(self.clone().serve(stream, permit));
+                }
+                // Descriptors may be out, or the client has left again: neither ends the listener.
+                Err(_) => {
+                    count(&self.gateway.traffic.accept_errors);
+                    tokio::time::sleep(length(ACCEPT_REST)).await;
+                }
+            }
+        }
+    }
+
+    /// A place for one more connection; where all are taken, the one idle longest makes room.
+    async fn room(&self) -> Permit {
+        loop {
+            if let Some(permit) = self.budget.permit() {
+                return permit;
+            }
+            self.close_idlest();
+            self.freed.notified().await;
+        }
+    }
+
+    fn close_idlest(&self) {
+        let seats = self.seats.borrow();
+        let idle = seats.values().filter_map(|s| s.idle_since.get().map(|since| (since, s)));
+        if let Some((_, seat)) = idle.min_by(|a, b| a.0.total_cmp(&b.0)) {
+            seat.close.notify_one();
+        }
+    }
+
+    async fn serve(self: Rc<Self>, stream: TcpStream, permit: Permit) {
+        // Without it answers only come later; the connection is good all the same.
+        let _ = stream.set_nodelay(true);
+        let seat = Rc::new(Seat::default());
+        seat.idle_since.set(Some(self.gateway.now()));
+        self.last.set(self.last.get() + 1);
+        let number = self.last.get();
+        self.seats.borrow_mut().insert(number, seat.clone());
+        let service = service_fn(|request| self.clone().handle(seat.clone(), request));
+        let connection = http1::Builder::new()
+            .timer(TokioTimer::new())
+            .header_read_timeout(length(READ_TIMEOUT))
+            .max_buf_size(HEAD_LIMIT)
+            .keep_alive(self.phase.get() != Phase::Closing)
+            .serve_connection(TokioIo::new(stream), service);
+        let mut connection = pin!(connection);
+        tokio::select! {
+            // How it ends is the client's business: a flow that was open on it is told by its guard.
+            _ = connection.as_mut() => {}
+            () = seat.close.notified() => {
+                connection.as_mut().graceful_shutdown();
+                let _ = connection.await;
+            }
+        }
+        self.seats.borrow_mut().remove(&number);
+        drop(permit);
+        self.freed.notify_one();
+    }
+
+    async fn handle(self: Rc<Self>, seat: Rc<Seat>, request: Request<Incoming>) -> Result<Reply, Infallible> {
+        seat.idle_since.set(None);
+        let reply = match request.uri().path() {
+            "/health/ready" if self.phase.get() == Phase::Open && self.gateway.can_serve() => {
+                plain(StatusCode::OK, "ready\n")
+            }
+            "/health/ready" => plain(StatusCode::SERVICE_UNAVAILABLE, "not ready\n"),
+            "/health/counters" => plain(StatusCode::OK, (self.counters)()),
+            _ => self.flow(request).await.unwrap_or_else(|malformed| {
+                count(&self.gateway.traffic.malformed);
+                turned_away(malformed)
+            }),
+        };
+        seat.idle_since.set(Some(self.gateway.now()));
+        Ok(reply)
+    }
+
+    async fn flow(&self, request: Request<Incoming>) -> Result<Reply, Malformed> {
+        let too_large = Malformed { status: StatusCode::PAYLOAD_TOO_LARGE, reason: "the body is too large" };
+        let (parts, body) = request.into_parts();
+        let new = self.gateway.classes.read(&parts)?;
+        if oversized(&parts.headers) {
+            return Err(too_large);
+        }
+        let read = Limited::new(body, BODY_LIMIT).collect();
+        let body = match tokio::time::timeout(length(READ_TIMEOUT), read).await {
+            Ok(Ok(body)) => body.to_bytes(),
+            Ok(Err(e)) if e.is::<http_body_util::LengthLimitError>() => return Err(too_large),
+            Ok(Err(_)) => {
+                return Err(Malformed { status: StatusCode::BAD_REQUEST, reason: "the body is not whole" })
+            }
+            Err(_) => {
+                return Err(Malformed { status: StatusCode::REQUEST_TIMEOUT, reason: "the body is late" })
+            }
+        };
+        let (id, answer) = self.gateway.take_in(new, Passing::new(&parts, body));
+        let guard = Guard { gateway: self.gateway.clone(), id };
+        // Routing answers every flow that it took; an answer that never comes is a failure all the same.
+        let answer = answer.await.unwrap_or(crate::routing::flow::Answer::Failed);
+        drop(guard);
+        Ok(to_client(answer))
+    }
+
+    /// Goes on to the next phase of the end.
+    pub fn enter(&self, phase: Phase) {
+        self.phase.set(phase);
+        if phase == Phase::Closing {
+            self.seats.borrow().values().for_each(|s| s.close.notify_one());
+        }
+    }
+
+    /// Whether nothing is left to do: no connection, and none for this long (ms).
+    pub fn quiet_for(&self, millis: f64) -> bool {
+        self.seats.borrow().is_empty() && self.gateway.now() - self.accepted_at.get() >= millis
+    }
+}
+
+/// Tells routing when the client of a flow leaves: hyper then drops the request's future.
+struct Guard {
+    gateway: Rc<Gateway>,
+    id: FlowId,
+}
+
+impl Drop for Guard {
+    fn drop(&mut self) {
+        self.gateway.client_gone(self.id);
+    }
+}
--- /dev/null
+++ b/src/transport/mod.rs
@@ -0,0 +1,37 @@
+//! Sockets: the listener, connections to targets and to discovery, byte accounting, socket budget.
+//!
+//! [`Gateway`] joins them with [`crate::routing`]: it carries out routing's orders on the network and
+//! reports back what came of them.
+
+pub mod budget;
+pub mod connection;
+pub mod discovery;
+mod gateway;
+pub mod listener;
+mod meter;
+pub mod pool;
+
+pub use gateway::{Gateway, Traffic};
+
+use tokio::task::{AbortHandle, JoinHandle};
+
+/// A task that ends, and lets go of its connection, when nobody holds it any more.
+#[derive(Debug)]
+pub(crate) struct Task(AbortHandle);
+
+impl<T> From<JoinHandle<T>> for Task {
+    fn from(handle: JoinHandle<T>) -> Task {
+        Task(handle.abort_handle())
+    }
+}
+
+impl Drop for Task {
+    fn drop(&mut self) {
+        self.0.abort();
+    }
+}
+
+/// Program milliseconds as a length of time for the runtime; never negative, never endless.
+pub(crate) fn length(millis: f64) -> std::time::Duration {
+    std::time::Duration::from_secs_f64(millis.clamp(0.0, 86_400_000.0) / 1000.0)
+}
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -42,7 +42,14 @@
     report: Vec<String>,
 }
 
-/// Highest list number.
+impl Dialect {
+    /// The class of that name.
+    pub fn class(&self, name: &str) -> Option<ClassId> {
+        self.classes.iter().position(|c| c == name)
+    }
+}
+
+/// How many lists can be numbered.
 pub const LISTS: usize = 16;
 
 /// A stable hash of a name (FNV-1a): the same in every process, whatever was met before.
@@ -268,16 +275,41 @@
     need(value, name)?.as_array().ok_or_else(|| format!("settings: {name} is not a list"))
 }
 
+/// A whole number above 0, where there is one.
+fn positive(group: &Value, name: &str, default: i64) -> Parsed<i64> {
+    match group.get(name) {
+        None => Ok(default),
+        Some(v) => v
+            .as_i64()
+            .filter(|n| *n > 0)
+            .ok_or_else(|| format!("settings: {name} is not a whole number above 0")),
+    }
+}
+
+fn read_network(limits: &Value, rules: &Value) -> Parsed<Network> {
+    let usual = Network::default();
+    Ok(Network {
+        conn_idle: positive(limits, "conn_idle", usual.conn_idle)?,
+        connect_timeout: positive(limits, "connect_timeout", usual.connect_timeout)?,
+        max_open: positive(limits, "max_open", usual.max_open as i64)? as usize,
+        drain_grace: positive(rules, "drain_grace", usual.drain_grace)?,
+    })
+}
+
 /// Reads the settings of an instance. Unknown keys are skipped.
 pub fn parse_settings(json: &str) -> Parsed<(Settings, Dialect)> {
-    let all: Value = serde_json::from_str(json).map_err(|e| format!("settings are not JSON: {e}"))?;
-    let (limits, rules) = (need(&all, "limits")?, need(&all, "obligations")?);
+    read_settings(&serde_json::from_str(json).map_err(|e| format!("settings are not JSON: {e}"))?)
+}
+
+/// Reads settings that are JSON already; the sidecar finds them inside its configuration.
+pub fn read_settings(all: &Value) -> Parsed<(Settings, Dialect)> {
+    let (limits, rules) = (need(all, "limits")?, need(all, "obligations")?);
     let number = |v: &Value, group: &str, name: &str| {
         v.get(group).and_then(|g| g.get(name)).and_then(Value::as_f64).unwrap_or(0.0)
     };
     let mut classes = Vec::new();
     let mut names = Vec::new();
-    for class in need_list(&all, "request_classes")? {
+    for class in need_list(all, "request_classes")? {
         names.push(need_text(class, "name")?.to_owned());
         let effect = match need_text(class, "effect")? {
             "retryable" => Effect::Safe,
@@ -301,22 +333,22 @@
             effect,
         });
     }
-    let how = need_text(need(&all, "report")?, "how")?;
-    let report = need_list(need(&all, "report")?, "names")?;
+    let how = need_text(need(all, "report")?, "how")?;
+    let report = need_list(need(all, "report")?, "names")?;
     let retry_after = limits.get("retry_after").and_then(Value::as_bool).unwrap_or(false);
     let settings = Settings {
-        balancers: need_int(&all, "fleet_size")?.max(1) as usize,
+        balancers: need_int(all, "fleet_size")?.max(1) as usize,
         zone: all.get("locality").and_then(Value::as_str).map(|z| tag(z) as u32),
         classes,
         prices: Prices {
-            probe: number(&all, "prices", "probe"),
-            cross_zone: number(&all, "prices", "cross_zone"),
-            waste: number(&all, "prices", "waste"),
-            handshake: number(&all, "prices", "handshake"),
-            connection: number(&all, "prices", "connection"),
+            probe: number(all, "prices", "probe"),
+            cross_zone: number(all, "prices", "cross_zone"),
+            waste: number(all, "prices", "waste"),
+            handshake: number(all, "prices", "handshake"),
+            connection: number(all, "prices", "connection"),
         },
-        worst_class_weight: number(&all, "scoring_mix", "worst_class"),
-        must_subscribe: need_text(&all, "discovery")? == "on_request",
+        worst_class_weight: number(all, "scoring_mix", "worst_class"),
+        must_subscribe: need_text(all, "discovery")? == "on_request",
         ask_within: rules.get("must_ask_in").and_then(Value::as_i64).unwrap_or(10_000_000),
         probes: need_flag(limits, "probes")?,
         inline_reports: how == "inline",
@@ -329,6 +361,7 @@
         cold_from: need_float(rules, "cold_from")?,
         warm_up: need_int(rules, "warm_up")?,
         fall_multiple: need_float(rules, "fall_multiple")?,
+        network: read_network(limits, rules)?,
     };
     let report = report.iter().map(|n| n.as_str().unwrap_or("").to_owned()).collect();
     Ok((settings, Dialect { classes: names, report }))
--- /dev/null
+++ b/tests/start.py
@@ -0,0 +1,66 @@
+"""Starts the real program as the deploy file says, asks it whether it is ready, and ends it."""
+
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+import urllib.error
+import urllib.request
+
+CLASSES = [
+    {"name": "quote", "aim": 600000, "give_up": 1500000, "worth": 2.0, "effect": "retryable"},
+    {"name": "place-order", "aim": 500000, "give_up": 2000000, "worth": 8.0, "effect": "fragile"},
+]
+SETTINGS = {
+    "discovery": "on_request",
+    "fleet_size": 1,
+    "locality": "a",
+    "limits": {"cancel": True, "max_attempts": 3, "max_retry_after": 1000000, "probes": True,
+               "retry_after": True, "second_copies": True},
+    "obligations": {"cold_from": 0.12, "fall_multiple": 4.0, "grace_to_answer": 20000, "warm_up": 23000000},
+    "report": {"how": "on_probe", "names": ["active"]},
+    "request_classes": CLASSES,
+}
+MEMBER = {"id": "s-1", "host_port": "127.0.0.1:9", "locality": "a", "flavor": "m", "cell": 0,
+          "phase": "in_service", "size": 1.0, "up_since_ms": 0}
+
+
+def free_port():
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return probe.getsockname()[1]
+
+
+def ready(url, program):
+    """Asks until the program answers or has ended."""
+    while program.poll() is None:
+        try:
+            return urllib.request.urlopen(url, timeout=30).status
+        except urllib.error.HTTPError as answer:
+            return answer.code
+        except OSError:
+            continue
+    sys.exit("the program ended before it was ready")
+
+
+def main():
+    listen = f"127.0.0.1:{free_port()}"
+    config = {"name": "n0", "listen": listen, "discovery": f"127.0.0.1:{free_port()}", "seed": "8c1f",
+              "known": {"revision": 1, "complete": True, "members": [MEMBER]}, "settings": SETTINGS}
+    with tempfile.NamedTemporaryFile("w", suffix=".json") as file:
+        json.dump(config, file)
+        file.flush()
+        env = {**os.environ, "LB_CONFIG": file.name}
+        program = subprocess.Popen(["/bin/sh", "-c", sys.argv[1]], env=env, stderr=subprocess.PIPE, text=True)
+        status = ready(f"http://{listen}/health/ready", program)
+        program.send_signal(signal.SIGTERM)
+        said = program.communicate()[1]
+    if status != 200 or program.returncode != 0 or "flows_taken 0" not in said:
+        sys.exit(f"ready {status}, exit {program.returncode}, said:\n{said}")
+    print("the program starts, is ready, and ends in order")
+
+
+main()
