--- /dev/null
+++ b/tests/connection.rs
@@ -0,0 +1,191 @@
+//! A model of a target connection's states, against which the real connection code takes random steps.
+
+use bytes::Bytes;
+use hyper::header::{HeaderValue, CONTENT_LENGTH, HOST};
+use hyper::Method;
+use quickcheck::{Arbitrary, Gen, QuickCheck, TestResult};
+use roseproxy::protocol::request::Passing;
+use roseproxy::transport::connection::{Connection, Exchange, State};
+use tokio::io::{AsyncReadExt, AsyncWriteExt, DuplexStream};
+use tokio::task::{spawn_local, yield_now, JoinHandle};
+
+/// What the pipe between the two ends holds: small, so that requests are written in parts.
+const PIPE: u64 = 48;
+
+#[derive(Clone, Debug)]
+enum Step {
+    /// Send a request with a body so long.
+    Send(u8),
+    /// The target reads so many bytes.
+    Read(u8),
+    /// The target answers whole, also where nobody asked.
+    Answer,
+    /// The target breaks off inside of its answer.
+    Half,
+    /// The target closes.
+    Close,
+}
+
+impl Arbitrary for Step {
+    fn arbitrary(g: &mut Gen) -> Step {
+        match u8::arbitrary(g) % 12 {
+            0..=3 => Step::Send(u8::arbitrary(g)),
+            4..=7 => Step::Read(u8::arbitrary(g)),
+            8 | 9 => Step::Answer,
+            10 => Step::Half,
+            _ => Step::Close,
+        }
+    }
+}
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Model {
+    Idle,
+    Busy { length: u64, read: u64 },
+    Closed,
+}
+
+struct Real {
+    /// Away while a request is on it.
+    connection: Option<Connection>,
+    running: Option<JoinHandle<(Connection, Exchange)>>,
+    peer: Option<DuplexStream>,
+}
+
+async fn quiet() {
+    for _ in 0..40 {
+        yield_now().await;
+    }
+}
+
+impl Real {
+    async fn new() -> Real {
+        let (near, far) = tokio::io::duplex(PIPE as usize);
+        let connection = Connection::start(near).await.expect("a fresh pipe");
+        Real { connection: Some(connection), running: None, peer: Some(far) }
+    }
+
+    fn send(&mut self, body: u8) -> u64 {
+        let headers = vec![(HOST, HeaderValue::from_static("origin.svc"))];
+        let body = Bytes::from(vec![b'x'; usize::from(body)]);
+        let outgoing = Passing { method: Method::POST, path: "/put?obj=1".into(), headers, body };
+        let outgoing = outgoing.to_target(480.0);
+        assert!(outgoing.request.headers().contains_key(CONTENT_LENGTH));
+        let (length, mut connection) = (outgoing.length, self.connection.take().expect("idle"));
+        self.running = Some(spawn_local(async move {
+            let exchange = connection.exchange(outgoing).await;
+            (connection, exchange)
+        }));
+        length
+    }
+
+    /// Reads exactly so many bytes; a pipe that has fewer is an error of the count.
+    async fn read(&mut self, bytes: u64) -> bool {
+        let mut buffer = vec![0; bytes as usize];
+        self.peer.as_mut().expect("open").read_exact(&mut buffer).await.is_ok()
+    }
+
+    async fn write(&mut self, text: &[u8]) {
+        let peer = self.peer.as_mut().expect("open");
+        peer.write_all(text).await.expect("the near end reads");
+    }
+
+    /// The exchange's end, where it has ended; the connection is back then.
+    async fn ended(&mut self) -> Option<Exchange> {
+        if !self.running.as_ref()?.is_finished() {
+            return None;
+        }
+        let (connection, exchange) = self.running.take()?.await.expect("no panic");
+        self.connection = Some(connection);
+        Some(exchange)
+    }
+}
+
+async fn step(model: Model, real: &mut Real, step: &Step) -> Result<Model, String> {
+    let wrong = |what: &str| Err(format!("{what} at {model:?} on {step:?}"));
+    let whole = |length: u64, read: u64| read + PIPE >= length;
+    match (model, step) {
+        (Model::Closed, _) | (Model::Busy { .. }, Step::Send(_)) | (Model::Idle, Step::Read(_)) => Ok(model),
+        (Model::Idle, Step::Send(body)) => {
+            let length = real.send(*body);
+            Ok(Model::Busy { length, read: 0 })
+        }
+        (Model::Busy { length, read }, Step::Read(n)) => {
+            // Often to the brink: one byte short of the whole request's being written, or just not.
+            let brink = (length + u64::from(*n & 1)).saturating_sub(PIPE + 1 + read);
+            let bytes = if *n >= 160 { brink } else { u64::from(*n).min(length - read) };
+            match real.read(bytes).await {
+                true => Ok(Model::Busy { length, read: read + bytes }),
+                false => wrong("too few bytes"),
+            }
+        }
+        // Before the whole request has come there is nothing to answer.
+        (Model::Busy { length, read }, Step::Answer | Step::Half) if read < length => Ok(model),
+        (Model::Busy { .. }, Step::Answer) => {
+            real.write(b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok").await;
+            quiet().await;
+            match real.ended().await {
+                Some(Exchange::Answered(status, _, body)) if status == 200 && *body == *b"ok" => {
+                    Ok(Model::Idle)
+                }
+                other => wrong(&format!("no answer but {other:?}")),
+            }
+        }
+        (Model::Idle, Step::Answer | Step::Half) => {
+            real.write(b"HTTP/1.1 200 OK\r\n\r\n").await;
+            Ok(Model::Closed)
+        }
+        (Model::Idle, Step::Close) => {
+            real.peer = None;
+            Ok(Model::Closed)
+        }
+        (Model::Busy { length, read }, Step::Half | Step::Close) => {
+            if matches!(step, Step::Half) {
+                real.write(b"HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\nok").await;
+            }
+            real.peer = None;
+            quiet().await;
+            match real.ended().await {
+                Some(Exchange::Broke { last_byte_written }) if last_byte_written == whole(length, read) => {
+                    // Whatever was on it, it is never used again.
+                    real.connection = None;
+                    Ok(Model::Closed)
+                }
+                other => wrong(&format!("no such break but {other:?}")),
+            }
+        }
+    }
+}
+
+fn holds(steps: Vec<Step>) -> TestResult {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_time().start_paused(true).build();
+    let result = tokio::task::LocalSet::new().block_on(&runtime.expect("a runtime"), async {
+        let (mut model, mut real) = (Model::Idle, Real::new().await);
+        for s in &steps {
+            // Time stands still: a step that hangs is an error at once.
+            let next = tokio::time::timeout(std::time::Duration::from_secs(1), step(model, &mut real, s));
+            model = next.await.unwrap_or_else(|_| Err(format!("{s:?} hangs at {model:?}")))?;
+            quiet().await;
+            let state = real.connection.as_ref().map(Connection::state);
+            let same = match model {
+                Model::Idle => state == Some(State::Idle),
+                Model::Busy { .. } => state.is_none(),
+                Model::Closed => state.is_none_or(|s| s == State::Closed),
+            };
+            if !same {
+                return Err(format!("{state:?} where the model is {model:?}, after {s:?}"));
+            }
+        }
+        Ok(())
+    });
+    match result {
+        Ok(()) => TestResult::passed(),
+        Err(reason) => TestResult::error(reason),
+    }
+}
+
+#[test]
+fn a_connection_does_as_its_model_says() {
+    let rng = Gen::from_size_and_seed(40, 0x5eed);
+    QuickCheck::new().rng(rng).tests(400).quickcheck(holds as fn(Vec<Step>) -> TestResult);
+}
--- /dev/null
+++ b/tests/protocol.rs
@@ -0,0 +1,162 @@
+//! The platform's words: heads, outcomes, load reports, lists, configuration.
+
+use bytes::Bytes;
+use hyper::{HeaderMap, Request, StatusCode};
+use roseproxy::interface::{Outcome, Readiness, Update};
+use roseproxy::program::config::Config;
+use roseproxy::protocol::request::{oversized, Classes, Malformed};
+use roseproxy::protocol::{answer, discovery, load, outcome};
+use roseproxy::routing::flow::{Answer, ForwardEnd, NewFlow};
+use serde_json::{json, Value};
+
+fn config() -> Value {
+    json!({"name": "n3", "listen": "127.0.0.1:0", "discovery": "127.0.0.1:1", "seed": "8c1f30d27a5be964",
+        "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
+        "known": {"revision": 41, "complete": true, "members": [member("s-1", "in_service")]},
+        "settings": {"discovery": "on_request", "fleet_size": 4, "locality": "a",
+            "limits": {"cancel": true, "conn_idle": 5000000, "connect_timeout": 250000, "max_attempts": 3,
+                "max_open": 20000, "max_retry_after": 1000000, "probes": true, "retry_after": true,
+                "second_copies": true},
+            "obligations": {"cold_from": 0.12, "drain_grace": 1500000, "fall_multiple": 4.0,
+                "grace_to_answer": 20000, "must_ask_in": 10000000, "warm_up": 23000000},
+            "report": {"how": "on_probe", "names": ["active", "waiting", "cpu"]},
+            "request_classes": [
+                {"aim": 600000, "effect": "retryable", "give_up": 1500000, "name": "quote", "worth": 2.0},
+                {"aim": 500000, "effect": "fragile", "give_up": 2000000, "name": "place-order", "worth": 8.0}]}})
+}
+
+fn member(id: &str, phase: &str) -> Value {
+    json!({"id": id, "host_port": "127.0.0.1:7070", "locality": "a", "flavor": "m2", "cell": 3,
+        "phase": phase, "size": 1.0, "up_since_ms": 0})
+}
+
+fn read_config(config: &Value) -> Result<Config, String> {
+    Config::read(&config.to_string(), |_| None)
+}
+
+fn read(request: hyper::http::request::Builder) -> Result<NewFlow, Malformed> {
+    let config = read_config(&config()).expect("a good configuration");
+    let classes = Classes::new(config.dialect, config.settings.classes);
+    classes.read(&request.body(()).expect("well-formed").into_parts().0)
+}
+
+fn quote() -> hyper::http::request::Builder {
+    Request::get("/quote?obj=7f3a").header("Request-Id", "9b1f").header("Request-Timeout", "0.480")
+}
+
+#[test]
+fn a_head_says_class_key_and_time() {
+    let new = read(quote().header("Request-Class", "quote")).expect("good");
+    assert_eq!((new.class, new.time_left), (0, 480.0));
+    assert_eq!(new.key, Some(roseproxy::wire::tag("7f3a")));
+    let new = read(Request::post("/place-order").header("Request-Id", "9b1f")).expect("good");
+    assert_eq!((new.class, new.key, new.time_left), (1, None, 2000.0));
+}
+
+#[test]
+fn malformed_heads_get_a_4xx() {
+    let status = |r| read(r).expect_err("malformed").status.as_u16();
+    assert_eq!(status(Request::get("/quote")), 400);
+    assert_eq!(status(Request::get("/other").header("Request-Id", "1")), 404);
+    assert_eq!(status(Request::post("/quote").header("Request-Id", "1")), 405);
+    assert_eq!(status(quote().header("Request-Class", "place-order")), 400);
+    for timeout in ["soon", "-1", "NaN", "inf", ""] {
+        let request = Request::get("/quote").header("Request-Id", "1").header("Request-Timeout", timeout);
+        assert_eq!(status(request), 400, "{timeout}");
+    }
+    let mut headers = HeaderMap::new();
+    headers.insert("content-length", "65537".parse().expect("a value"));
+    assert!(oversized(&headers));
+}
+
+#[test]
+fn only_the_platforms_word_proves_that_nothing_ran() {
+    let end = |status: u16, not_started: bool| {
+        let mut headers = HeaderMap::new();
+        if not_started {
+            headers.insert("not-started", "1".parse().expect("a value"));
+        }
+        outcome::of_answer(StatusCode::from_u16(status).expect("a status"), &headers, Bytes::new())
+    };
+    assert_eq!(end(200, false), ForwardEnd::Served(Bytes::new()));
+    assert_eq!(end(503, true), ForwardEnd::Lost(Outcome::Rejected));
+    assert_eq!(end(504, true), ForwardEnd::Lost(Outcome::Rejected));
+    for (status, not_started) in
+        [(500, false), (500, true), (503, false), (504, false), (404, true), (204, false)]
+    {
+        assert_eq!(end(status, not_started), ForwardEnd::Lost(Outcome::Error), "{status}");
+    }
+    assert_eq!(outcome::of_break(true).outcome(), Outcome::Broken);
+    assert_eq!(outcome::of_break(false).outcome(), Outcome::Unreachable);
+}
+
+#[test]
+fn reports_are_read_as_far_as_they_make_sense() {
+    let report = load::read("TEXT inflight=7, queue=2, util=0.61\n").expect("a report");
+    assert_eq!((report.held, report.waiting, report.busy), (Some(7.0), Some(2.0), Some(0.61)));
+    let odd = load::read("TEXT inflight=NaN, queue=-3, util, later=9, qps=4").expect("one figure");
+    assert_eq!((odd.held, odd.waiting, odd.rate), (None, None, Some(4.0)));
+    assert!(load::read("").is_none() && load::read("<html>").is_none());
+}
+
+#[test]
+fn lists_are_read_and_broken_entries_never_remove_anybody() {
+    let list = |members: Value| json!({"revision": 43, "complete": true, "members": members}).to_string();
+    let members = json!([member("a", "in_service"), member("b", "terminating"), member("c", "terminated")]);
+    let all = discovery::read(list(members).as_bytes()).expect("a list");
+    assert_eq!((all.revision, all.update, all.unread), (43, Update::Complete, 0));
+    let phases: Vec<_> = all.targets.iter().map(|t| t.readiness).collect();
+    assert_eq!(phases, [Readiness::Ready, Readiness::Draining, Readiness::Gone]);
+    let broken = json!([member("a", "in_service"), member("b", "dozing"), {"id": "d"}, 7]);
+    let some = discovery::read(list(broken).as_bytes()).expect("a list");
+    assert_eq!((some.update, some.targets.len(), some.unread), (Update::Changes, 1, 3));
+    for bad in ["", "{", "[]", "{}", r#"{"revision":-1,"complete":true,"members":[]}"#] {
+        assert!(discovery::read(bad.as_bytes()).is_err(), "{bad}");
+    }
+}
+
+#[test]
+fn answers_say_what_they_must() {
+    let served = answer::to_client(Answer::Served(Bytes::from_static(b"\x00\xff priced")));
+    assert_eq!(served.status(), 200);
+    let refused = answer::to_client(Answer::Refused { retry_after: 250.0 });
+    assert_eq!(
+        (refused.status().as_u16(), &refused.headers()["retry-after"]),
+        (503, &"0.250".parse().expect("value"))
+    );
+    assert!(!answer::to_client(Answer::Refused { retry_after: 0.0 }).headers().contains_key("retry-after"));
+    let failed = answer::to_client(Answer::Failed).status().as_u16();
+    assert!(failed >= 500 && failed != 503, "a failure that reads as a refusal would be repeated");
+}
+
+#[test]
+fn a_bad_configuration_is_named_by_its_key() {
+    assert!(read_config(&config()).is_ok());
+    let faults = [
+        ("/name", json!(7), "name"),
+        ("/listen", json!("nowhere"), "listen"),
+        ("/discovery", json!(null), "discovery"),
+        ("/seed", json!("xyz"), "seed"),
+        ("/limits/sockets", json!(3), "limits.sockets"),
+        ("/known", json!({"revision": 1}), "known"),
+        ("/settings", json!({}), "limits"),
+        ("/settings/fleet_size", json!("four"), "fleet_size"),
+        ("/settings/limits/conn_idle", json!(0), "conn_idle"),
+        ("/settings/limits/connect_timeout", json!(-5), "connect_timeout"),
+        ("/settings/obligations/drain_grace", json!("long"), "drain_grace"),
+        ("/settings/request_classes", json!(3), "request_classes"),
+    ];
+    for (path, value, key) in faults {
+        let mut config = config();
+        *config.pointer_mut(path).expect("a key") = value;
+        let reason = read_config(&config).expect_err(path);
+        assert!(reason.contains(key), "{path}: {reason}");
+    }
+    assert!(Config::load(|_| None).expect_err("no file").contains("LB_CONFIG"));
+    let mut lacking = config();
+    lacking.as_object_mut().expect("an object").remove("listen");
+    assert!(read_config(&lacking).expect_err("none").contains("LB_LISTEN"));
+    let stand_in = |name: &str| (name == "LB_LISTEN").then(|| "127.0.0.1:99".to_owned());
+    let read = Config::read(&lacking.to_string(), stand_in).expect("the variable stands in");
+    assert_eq!(read.listen.port(), 99);
+}
