Test the whole sidecar on loopback with scripted targets, clients and discovery

Each of the ways in which real sockets differ has a scene: a body relayed byte for byte on a kept connection, an order on a stale connection that is not sent again, refused connects, clients that leave, malformed heads, more clients than sockets, the end in order, a watch that resumes by index or falls silent.

--- /dev/null
+++ b/tests/sockets.rs
@@ -0,0 +1,339 @@
+//! The whole sidecar on loopback sockets, with scripted targets and clients.
+
+use roseproxy::interface::Update;
+use roseproxy::program::{config::Config, Clock};
+use roseproxy::protocol::discovery;
+use roseproxy::protocol::request::Classes;
+use roseproxy::routing::Host;
+use roseproxy::transport::budget::Budget;
+use roseproxy::transport::discovery::Watcher;
+use roseproxy::transport::listener::{Listener, Phase};
+use roseproxy::transport::Gateway;
+use serde_json::{json, Value};
+use std::future::Future;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::task::spawn_local;
+
+const OK: &str = "HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\npriced";
+
+/// Runs a scene on one thread, as the program does.
+fn scene<T>(scene: impl Future<Output = T>) -> T {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
+    tokio::task::LocalSet::new().block_on(&runtime, scene)
+}
+
+fn config() -> Config {
+    let text = json!({"name": "n0", "listen": "127.0.0.1:0", "discovery": "127.0.0.1:9", "seed": "5",
+        "settings": {"discovery": "on_request", "fleet_size": 1, "prices": {"probe": 1000.0},
+            "limits": {"cancel": true, "max_attempts": 3, "max_retry_after": 1000000, "probes": true,
+                "retry_after": true, "second_copies": false},
+            "obligations": {"cold_from": 0.12, "fall_multiple": 4.0, "grace_to_answer": 20000, "warm_up": 1,
+                "must_ask_in": 1000},
+            "report": {"how": "on_probe", "names": ["active"]},
+            "request_classes": [
+                {"aim": 60000000, "effect": "retryable", "give_up": 60000000, "name": "quote", "worth": 2.0},
+                {"aim": 60000000, "effect": "fragile", "give_up": 60000000, "name": "place-order", "worth": 8.0}]}});
+    Config::read(&text.to_string(), |_| None).expect("a good configuration")
+}
+
+fn list(revision: u64, complete: bool, targets: &[(SocketAddr, &str)]) -> String {
+    let member = |(address, phase): &(SocketAddr, &str)| {
+        json!({"id": address.to_string(), "host_port": address.to_string(), "locality": "a", "flavor": "m",
+            "cell": 0, "phase": phase, "size": 1.0, "up_since_ms": 0})
+    };
+    let members: Vec<Value> = targets.iter().map(member).collect();
+    json!({"revision": revision, "complete": complete, "members": members}).to_string()
+}
+
+struct Sidecar {
+    gateway: Rc<Gateway>,
+    listener: Rc<Listener>,
+    address: SocketAddr,
+}
+
+async fn sidecar(targets: &[SocketAddr], clients: usize) -> Sidecar {
+    let config = config();
+    let clock = Clock::system();
+    let classes = Classes::new(config.dialect, config.settings.classes.clone());
+    let host = Host::new(config.settings, config.seed, clock.now());
+    let gateway = Gateway::new(host, classes, Budget::new(20), clock.reader());
+    let group: Vec<_> = targets.iter().map(|t| (*t, "in_service")).collect();
+    let known = discovery::read(list(1, true, &group).as_bytes()).expect("a list");
+    gateway.targets(Update::Complete, &known.targets);
+    spawn_local(gateway.clone().run_timers());
+    let socket = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let address = socket.local_addr().expect("bound");
+    let listener = Listener::new(gateway.clone(), Budget::new(clients), Box::new(|| "flows 0\n".into()));
+    spawn_local(listener.clone().run(socket));
+    Sidecar { gateway, listener, address }
+}
+
+async fn port() -> (TcpListener, SocketAddr) {
+    let socket = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let address = socket.local_addr().expect("bound");
+    (socket, address)
+}
+
+/// Reads one message: its head, and as much body as its length says.
+async fn message(stream: &mut TcpStream) -> Option<String> {
+    let mut text = Vec::new();
+    loop {
+        let so_far = String::from_utf8_lossy(&text).into_owned();
+        if let Some(head) = so_far.find("\r\n\r\n") {
+            let lower = so_far[..head].to_lowercase();
+            let length = lower.split("content-length: ").nth(1).map_or(0, |l| {
+                l.split("\r\n").next().and_then(|n| n.parse::<usize>().ok()).expect("a length")
+            });
+            if text.len() >= head + 4 + length {
+                return Some(so_far);
+            }
+        }
+        match stream.read_u8().await {
+            Ok(byte) => text.push(byte),
+            Err(_) => return None,
+        }
+    }
+}
+
+fn request(class: &str, id: &str, body: &str) -> String {
+    let method = if class == "quote" { "GET" } else { "POST" };
+    format!(
+        "{method} /{class}?obj=7f3a HTTP/1.1\r\nHost: origin.svc\r\nRequest-Id: {id}\r\nRequest-Class: {class}\r\n\
+         Tenant: acme\r\nRequest-Timeout: 50\r\nContent-Length: {}\r\n\r\n{body}",
+        body.len()
+    )
+}
+
+async fn ask(client: &mut TcpStream, text: &str) -> String {
+    client.write_all(text.as_bytes()).await.expect("the sidecar reads");
+    message(client).await.expect("a whole answer")
+}
+
+#[test]
+fn a_request_passes_unchanged_and_its_answer_comes_back_whole() {
+    scene(async {
+        let (socket, target) = port().await;
+        let sidecar = sidecar(&[target], 8).await;
+        let mut client = TcpStream::connect(sidecar.address).await.expect("connects");
+        let served = spawn_local(async move {
+            let (mut stream, _) = socket.accept().await.expect("the sidecar connects");
+            let first = message(&mut stream).await.expect("a request");
+            stream.write_all(OK.as_bytes()).await.expect("written");
+            // On the same connection: a handshake is dear.
+            let second = message(&mut stream).await.expect("a request");
+            stream.write_all(OK.as_bytes()).await.expect("written");
+            (first, second)
+        });
+        let answer = ask(&mut client, &request("place-order", "9b1f03aa", "size=2x3")).await;
+        assert!(answer.starts_with("HTTP/1.1 200") && answer.ends_with("\r\n\r\npriced"), "{answer}");
+        ask(&mut client, &request("quote", "aa", "")).await;
+        let (first, second) = served.await.expect("no panic");
+        assert!(
+            first.starts_with("POST /place-order?obj=7f3a HTTP/1.1\r\n")
+                && first.ends_with("\r\n\r\nsize=2x3")
+        );
+        assert!(
+            first.contains("request-id: 9b1f03aa\r\n") && first.contains("request-timeout: 49.9"),
+            "{first}"
+        );
+        assert!(second.contains("request-id: aa\r\n"));
+    });
+}
+
+/// A kept connection that the target resets under a request: hyper and many clients would send it
+/// again on a new one, and the order would be placed twice.
+#[test]
+fn an_order_on_a_stale_connection_is_never_sent_again() {
+    scene(async {
+        let (socket, target) = port().await;
+        let sidecar = sidecar(&[target], 8).await;
+        let mut client = TcpStream::connect(sidecar.address).await.expect("connects");
+        let again = spawn_local(async move {
+            let (mut stream, _) = socket.accept().await.expect("the sidecar connects");
+            message(&mut stream).await.expect("a request");
+            stream.write_all(OK.as_bytes()).await.expect("written");
+            message(&mut stream).await.expect("a request");
+            drop(stream);
+            // Whoever comes now comes with a second copy.
+            drop(socket.accept().await);
+        });
+        ask(&mut client, &request("place-order", "1", "a")).await;
+        let answer = ask(&mut client, &request("place-order", "2", "b")).await;
+        assert!(answer.starts_with("HTTP/1.1 502"), "{answer}");
+        let counts = sidecar.gateway.counts();
+        assert!(
+            counts.contains(&("forwards_sent".into(), 2)) && counts.contains(&("forwards_broken".into(), 1))
+        );
+    });
+}
+
+#[test]
+fn a_target_that_refuses_connections_proves_that_nothing_ran() {
+    scene(async {
+        let (gone, target) = port().await;
+        drop(gone);
+        let sidecar = sidecar(&[target], 8).await;
+        let mut client = TcpStream::connect(sidecar.address).await.expect("connects");
+        let answer = ask(&mut client, &request("place-order", "1", "a")).await;
+        assert!(
+            answer.starts_with("HTTP/1.1 503") && answer.to_lowercase().contains("retry-after: "),
+            "{answer}"
+        );
+    });
+}
+
+#[test]
+fn a_client_that_leaves_takes_its_forward_with_it() {
+    scene(async {
+        let (socket, target) = port().await;
+        let sidecar = sidecar(&[target], 8).await;
+        let mut client = TcpStream::connect(sidecar.address).await.expect("connects");
+        client.write_all(request("quote", "1", "").as_bytes()).await.expect("written");
+        let (mut stream, _) = socket.accept().await.expect("the sidecar connects");
+        message(&mut stream).await.expect("a request");
+        drop(client);
+        assert!(message(&mut stream).await.is_none(), "the connection is closed");
+        assert_eq!(sidecar.gateway.open_flows(), 0);
+    });
+}
+
+#[test]
+fn malformed_and_oversized_requests_get_a_4xx_and_go_nowhere() {
+    scene(async {
+        let (socket, target) = port().await;
+        let forwarded = spawn_local(async move { drop(socket.accept().await) });
+        let sidecar = sidecar(&[target], 2).await;
+        let long = "x".repeat(70_000);
+        let texts = [
+            ("nonsense\r\n\r\n".to_owned(), "400"),
+            ("GET /quote HTTP/1.1\r\nHost: a\r\n\r\n".to_owned(), "400"),
+            (format!("GET /quote HTTP/1.1\r\nHost: a\r\nRequest-Id: {long}\r\n\r\n"), "431"),
+            (
+                "POST /place-order HTTP/1.1\r\nRequest-Id: 1\r\nContent-Length: 65537\r\n\r\n".to_owned(),
+                "413",
+            ),
+            ("POST /place-order HTTP/1.1\r\nRequest-Id: 1\r\nContent-Length: x\r\n\r\n".to_owned(), "400"),
+        ];
+        for (text, status) in texts {
+            let mut client = TcpStream::connect(sidecar.address).await.expect("connects");
+            // It may stop reading early, and its answer must be there all the same.
+            let _ = client.write_all(&text.as_bytes()[..text.len().min(20_000)]).await;
+            let answer = message(&mut client).await.unwrap_or_default();
+            assert!(answer.starts_with(&format!("HTTP/1.1 {status}")), "{status}: {answer}");
+        }
+        assert!(!forwarded.is_finished(), "something of it was forwarded");
+    });
+}
+
+#[test]
+fn more_clients_than_sockets_displace_the_idle_and_all_are_served() {
+    scene(async {
+        let sidecar = sidecar(&["127.0.0.1:9".parse().expect("an address")], 2).await;
+        let ready = "GET /health/ready HTTP/1.1\r\nHost: a\r\n\r\n";
+        let mut clients = Vec::new();
+        for _ in 0..5 {
+            let mut client = TcpStream::connect(sidecar.address).await.expect("connects");
+            assert!(ask(&mut client, ready).await.starts_with("HTTP/1.1 200"));
+            clients.push(client);
+        }
+        assert!(message(&mut clients[0]).await.is_none(), "the one idle longest was closed");
+    });
+}
+
+#[test]
+fn the_end_answers_what_was_taken_and_closes_the_rest() {
+    scene(async {
+        let (socket, target) = port().await;
+        let sidecar = sidecar(&[target], 8).await;
+        let mut idle = TcpStream::connect(sidecar.address).await.expect("connects");
+        let ready = "GET /health/ready HTTP/1.1\r\nHost: a\r\n\r\n";
+        assert!(ask(&mut idle, ready).await.starts_with("HTTP/1.1 200"));
+        let mut client = TcpStream::connect(sidecar.address).await.expect("connects");
+        client.write_all(request("quote", "1", "").as_bytes()).await.expect("written");
+        let (mut stream, _) = socket.accept().await.expect("the sidecar connects");
+        message(&mut stream).await.expect("a request");
+        sidecar.listener.enter(Phase::Leaving);
+        assert!(ask(&mut idle, ready).await.starts_with("HTTP/1.1 503"), "no longer ready");
+        sidecar.listener.enter(Phase::Closing);
+        assert!(message(&mut idle).await.is_none());
+        assert!(!sidecar.listener.quiet_for(0.0), "one answer is owed");
+        stream.write_all(OK.as_bytes()).await.expect("written");
+        let answer = message(&mut client).await.expect("a whole answer");
+        assert!(answer.ends_with("priced"), "{answer}");
+        assert!(message(&mut client).await.is_none());
+        let mut late = TcpStream::connect(sidecar.address).await.expect("still accepted");
+        assert!(ask(&mut late, "GET /nothing HTTP/1.1\r\nHost: a\r\n\r\n").await.starts_with("HTTP/1.1 404"));
+        assert!(message(&mut late).await.is_none());
+    });
+}
+
+/// Discovery: the whole list first, then a watch from its version; a watch that breaks is taken up
+/// again from the last version, and what is no list in between changes nothing.
+#[test]
+fn the_watch_resumes_by_index() {
+    scene(async {
+        let (socket, address) = port().await;
+        let sidecar = sidecar(&[], 8).await;
+        assert!(!sidecar.gateway.can_serve());
+        spawn_local(Watcher::new(sidecar.gateway.clone(), address).run());
+        let target: SocketAddr = "127.0.0.1:9".parse().expect("an address");
+        let (mut stream, _) = socket.accept().await.expect("the sidecar connects");
+        let fetch = message(&mut stream).await.expect("a request");
+        assert!(fetch.starts_with("GET /registry/instances HTTP/1.1\r\n"), "{fetch}");
+        let all = list(41, true, &[(target, "in_service")]);
+        let answer = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{all}", all.len());
+        stream.write_all(answer.as_bytes()).await.expect("written");
+        let watch = message(&mut stream).await.expect("a request");
+        assert!(watch.starts_with("GET /registry/instances?stream=1&index=41 HTTP/1.1\r\n"), "{watch}");
+        assert!(sidecar.gateway.can_serve());
+        let change = list(43, false, &[(target, "terminated")]);
+        let chunk = format!("not json\n\n{change}\n");
+        let chunked = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+        let text = format!("{chunked}{:x}\r\n{chunk}\r\n", chunk.len());
+        stream.write_all(text.as_bytes()).await.expect("written");
+        drop(stream);
+        let (mut stream, _) = socket.accept().await.expect("it comes again");
+        let watch = message(&mut stream).await.expect("a request");
+        assert!(watch.starts_with("GET /registry/instances?stream=1&index=43 HTTP/1.1\r\n"), "{watch}");
+        assert!(!sidecar.gateway.can_serve());
+        assert!(sidecar.gateway.counts().contains(&("lists_unread".into(), 1)));
+        // Knowing nothing of that version, discovery is asked for the whole list again.
+        stream.write_all(b"HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n").await.expect("written");
+        let (mut stream, _) = socket.accept().await.expect("it comes again");
+        let fetch = message(&mut stream).await.expect("a request");
+        assert!(fetch.starts_with("GET /registry/instances HTTP/1.1\r\n"), "{fetch}");
+    });
+}
+
+/// A watch that stays open and says nothing, not even an empty line, is dead. Time is the test's.
+#[test]
+fn a_silent_watch_is_given_up() {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().start_paused(true).build();
+    tokio::task::LocalSet::new().block_on(&runtime.expect("a runtime"), async {
+        let (socket, address) = port().await;
+        let sidecar = sidecar(&[], 8).await;
+        spawn_local(Watcher::new(sidecar.gateway.clone(), address).run());
+        // Connections and requests may cross the paused clock's jumps, so any number of tries is fine;
+        // the silent one must end by itself.
+        loop {
+            let (mut stream, _) = socket.accept().await.expect("the sidecar connects");
+            let Some(request) = message(&mut stream).await else { continue };
+            if request.contains("stream=1") {
+                let _ = stream.write_all(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n").await;
+                assert!(message(&mut stream).await.is_none(), "closed by the watcher");
+                return;
+            }
+            let all = list(1, true, &[]);
+            let answer = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{all}", all.len());
+            let _ = stream.write_all(answer.as_bytes()).await;
+            let Some(watch) = message(&mut stream).await else { continue };
+            assert!(watch.contains("index=1 "), "{watch}");
+            let _ = stream.write_all(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n").await;
+            assert!(message(&mut stream).await.is_none(), "closed by the watcher");
+            return;
+        }
+    });
+}
