--- a/tests/sockets.rs
+++ b/tests/sockets.rs
@@ -167,6 +167,7 @@
         assert!(
             counts.contains(&("forwards_sent".into(), 2)) && counts.contains(&("forwards_broken".into(), 1))
         );
+        assert!(!again.is_finished(), "the order was sent again");
     });
 }
 
