Take a server that is back after being lost as cold until the list can tell

At fault, src/policy.rs: warmth() knew only the list's started_at. Now a server that was out of reach for over 0.5 s counts as started when it answers again, for 6 s at most, the time by which the platform counts news as told.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -27,6 +27,9 @@
 const LATE: f64 = 6.0;
 /// Time (microseconds) in which most of what was learnt of late answers is forgotten.
 const FORGET: f64 = 1e6;
+/// Time out of reach after which a server counts as lost, and how late the list may tell of a start.
+const LOST: Micros = 500_000;
+const NEWS: Micros = 6_000_000;
 /// How much emptier than the fleet a key's home counts.
 const WARM: f64 = 2.0;
 
@@ -168,8 +171,16 @@
         if let Some(figure) = load.and_then(|l| l.held.or(l.waiting)).filter(|l| (0.0..1e6).contains(l)) {
             (b.load, b.load_at, b.guessed) = (figure, Some(now), false);
         }
+        if outcome == Outcome::Unreachable {
+            b.lost_at = b.lost_at.or(Some(now));
+        }
         let bad = match outcome {
-            Outcome::Served => 0.0,
+            Outcome::Served => {
+                if b.lost_at.take().is_some_and(|at| now - at > LOST) {
+                    (b.back_at, self.table_at) = (Some(now), None);
+                }
+                0.0
+            }
             Outcome::Cancelled | Outcome::NotSent => return,
             // Full for now, or draining, which the list tells late: a guess at its load, which counts for
             // no mean (it would run away), and some trouble, in case it never takes anything.
@@ -244,7 +255,11 @@
     /// Share of its capacity that a server has at least; 1 once it is warm.
     fn warmth(&self, slot: usize) -> f64 {
         let (from, warm_up) = (self.settings.cold_from, self.settings.warm_up.max(1) as f64);
-        let age = self.backends[slot].info.started_at.map_or(warm_up, |at| (self.now - at) as f64);
+        let age = |at: Option<Micros>| at.map_or(warm_up, |at| (self.now - at) as f64);
+        // One that is back after it was lost has most likely started anew, which the list tells late:
+        // with its old share it would be pushed over before that.
+        let back = self.backends[slot].back_at.filter(|at| self.now - at < NEWS);
+        let age = age(self.backends[slot].info.started_at).min(age(back));
         from + (1.0 - from) * (age / warm_up).clamp(0.0, 1.0)
     }
 
--- a/src/state.rs
+++ b/src/state.rs
@@ -50,6 +50,9 @@
     pub out: u32,
     pub silent_since: Micros,
     pub probing: bool,
+    /// Since when it has been out of reach, and when it last came back from that.
+    pub lost_at: Option<Micros>,
+    pub back_at: Option<Micros>,
     /// Whether a connection may be open, and when it was last used.
     pub open: bool,
     pub used_at: Micros,
--- a/tests/keys.rs
+++ b/tests/keys.rs
@@ -67,3 +67,29 @@
     }
     assert!(served >= 80, "{served} of 100 were sent");
 }
+
+/// On the first fleet days a lost zone's servers answered probes two seconds before the list told of
+/// their start; they got a warm server's share, choked, and the clients' retries did the rest.
+#[test]
+fn a_server_that_is_back_after_being_lost_counts_as_cold_at_first() {
+    let settings =
+        Settings { probes: true, prices: Prices { probe: 0.01, ..Prices::default() }, ..settings() };
+    let share = |lost: bool| {
+        let mut d = Driver::new(settings.clone(), 9, 4);
+        if lost {
+            (0..3).for_each(|_| drop(d.wait(400_000).probed(2, Outcome::Unreachable, None)));
+        }
+        d.wait(2_000_000);
+        (0..4).for_each(|s| drop(d.probed(s, Outcome::Served, held(2.0))));
+        let mut went = Vec::new();
+        for id in 1..400 {
+            for s in sent(&d.wait(2_000).request(id, 0)) {
+                went.push(s);
+                drop(d.end_after(id, 0, s, Outcome::Served, 30_000, held(2.0)));
+            }
+        }
+        went.iter().filter(|s| **s == 2).count()
+    };
+    let (steady, back) = (share(false), share(true));
+    assert!(back * 2 < steady, "{back} where a steady server gets {steady}");
+}
