Keep a quiet client's connection: hyper's time for a head runs between requests

Found by starting the program as a new user would: an idle connection was closed after 10.0 s, so that a client's next request could meet the close and had to be sent again. At fault: header_read_timeout in src/transport/listener.rs, set to 10 s for slow heads only. Now 90 s; a body still has 10 s. a_quiet_client_keeps_its_connection fails with 10 s.

--- a/src/transport/listener.rs
+++ b/src/transport/listener.rs
@@ -21,9 +21,12 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Notify;
 
-/// A request's head and body must be there this long after their first byte (ms): against clients
-/// that hold a connection with half a request.
-const READ_TIMEOUT: f64 = 10_000.0;
+/// A request's body must be there this long after its head (ms): against clients that hold a
+/// connection with half a request.
+const BODY_TIMEOUT: f64 = 10_000.0;
+/// The same for a head. hyper counts the time between requests too, and clients keep connections: one
+/// that is quiet for a while must not find its connection closed under its next request.
+const HEAD_TIMEOUT: f64 = 90_000.0;
 /// Longest head that is read; a larger one gets a 431.
 const HEAD_LIMIT: usize = 16 * 1024;
 /// How long accepting rests after it failed (ms): against a busy loop while descriptors are out.
@@ -126,7 +129,7 @@
         let service = service_fn(|request| self.clone().handle(seat.clone(), request));
         let connection = http1::Builder::new()
             .timer(TokioTimer::new())
-            .header_read_timeout(length(READ_TIMEOUT))
+            .header_read_timeout(length(HEAD_TIMEOUT))
             .max_buf_size(HEAD_LIMIT)
             .keep_alive(self.phase.get() != Phase::Closing)
             .serve_connection(TokioIo::new(stream), service);
@@ -169,7 +172,7 @@
             return Err(too_large);
         }
         let read = Limited::new(body, BODY_LIMIT).collect();
-        let body = match tokio::time::timeout(length(READ_TIMEOUT), read).await {
+        let body = match tokio::time::timeout(length(BODY_TIMEOUT), read).await {
             Ok(Ok(body)) => body.to_bytes(),
             Ok(Err(e)) if e.is::<http_body_util::LengthLimitError>() => return Err(too_large),
             Ok(Err(_)) => {
--- a/tests/sockets.rs
+++ b/tests/sockets.rs
@@ -338,3 +338,17 @@
         }
     });
 }
+
+/// hyper's time for a head runs between requests too: at 10 s it closed connections that clients keep.
+#[test]
+fn a_quiet_client_keeps_its_connection() {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().start_paused(true).build();
+    tokio::task::LocalSet::new().block_on(&runtime.expect("a runtime"), async {
+        let sidecar = sidecar(&["127.0.0.1:9".parse().expect("an address")], 2).await;
+        let ready = "GET /health/ready HTTP/1.1\r\nHost: a\r\n\r\n";
+        let mut client = TcpStream::connect(sidecar.address).await.expect("connects");
+        assert!(ask(&mut client, ready).await.starts_with("HTTP/1.1 200"));
+        tokio::time::sleep(std::time::Duration::from_secs(60)).await;
+        assert!(ask(&mut client, ready).await.starts_with("HTTP/1.1 200"));
+    });
+}
