Let new servers take the place of those long gone in the module's memory

The module's list of servers only grew: 1200 remembered after 300 lists of 4 (servers_that_are_gone_make_room with the bound out of reach). Past 64 a new server takes the place of one that is gone, has nothing out and that no open request has met.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -30,6 +30,8 @@
 /// Time out of reach after which a server counts as lost, and how late the list may tell of a start.
 const LOST: Micros = 500_000;
 const NEWS: Micros = 6_000_000;
+/// Servers remembered before new ones take the place of those that are gone.
+const MOST: usize = 64;
 /// How much emptier than the fleet a key's home counts.
 const WARM: f64 = 2.0;
 
@@ -127,13 +129,11 @@
 
     fn on_servers(&mut self, update: Update, servers: &[Server]) {
         // A server that a complete list no longer names is gone.
-        let complete = |_: &&mut Backend| update == Update::Complete;
-        self.backends.iter_mut().filter(complete).for_each(|b| b.info.readiness = Readiness::Gone);
+        let named = |b: &Backend| servers.iter().any(|s| s.id == b.info.id);
+        let missing = |b: &&mut Backend| update == Update::Complete && !named(b);
+        self.backends.iter_mut().filter(missing).for_each(|b| b.info.readiness = Readiness::Gone);
         for info in servers {
-            let slot = *self.slots.entry(info.id).or_insert(self.backends.len());
-            if slot == self.backends.len() {
-                self.backends.push(Backend::default());
-            }
+            let slot = self.slots.get(&info.id).copied().unwrap_or_else(|| self.place(info.id));
             self.backends[slot].update(info, self.now);
         }
         self.table_at = None;
@@ -146,6 +146,22 @@
         }
     }
 
+    /// Makes room for a new server. Past a bound it takes the place of one that is gone and that no
+    /// request has to do with, or memory would grow with every server ever heard of.
+    fn place(&mut self, id: ServerId) -> usize {
+        let met = |h: &Held, s: usize| h.probed.contains(&s) || h.attempts.iter().any(|a| a.slot == s);
+        let idle = |b: &Backend| b.info.readiness == Readiness::Gone && b.out == 0 && !b.probing;
+        let free = |s: &usize| idle(&self.backends[*s]) && !self.requests.values().any(|h| met(h, *s));
+        let full = self.backends.len() >= MOST;
+        let slot = (0..self.backends.len()).find(|s| full && free(s)).unwrap_or(self.backends.len());
+        match self.backends.get_mut(slot) {
+            Some(gone) => drop(self.slots.remove(&std::mem::take(gone).info.id)),
+            None => self.backends.push(Backend::default()),
+        }
+        self.slots.insert(id, slot);
+        slot
+    }
+
     /// Keeps the subscription: asks soon after the start and, after failures, ever later; all jittered.
     fn follow(&mut self, update: Update) {
         let news = update != Update::Failed;
--- a/tests/keys.rs
+++ b/tests/keys.rs
@@ -93,3 +93,22 @@
     let (steady, back) = (share(false), share(true));
     assert!(back * 2 < steady, "{back} where a steady server gets {steady}");
 }
+
+/// A daemon lives long: it must not remember every server that was ever replaced.
+#[test]
+fn servers_that_are_gone_make_room() {
+    let mut d = Driver::new(settings(), 9, 4);
+    for round in 0..300 {
+        let list: Vec<Server> = (0..4).map(|i| server(round * 4 + i)).collect();
+        d.wait(1000).list(Update::Complete, &list);
+        for s in sent(&d.request(round + 1, 0)) {
+            assert!(list.iter().any(|l| l.id.0 == s), "sent to one that is gone");
+            // Every other request stays out, and its server with it until it ends.
+            if round % 2 == 0 {
+                drop(d.end(round + 1, 0, s, Outcome::Served));
+            }
+        }
+    }
+    let remembered = format!("{:?}", d.balancer).matches("Backend {").count();
+    assert!(remembered <= 64 + 200, "{remembered} servers are remembered");
+}
