--- a/src/policy.rs
+++ b/src/policy.rs
@@ -181,7 +181,7 @@
     // ---- what is known of a server
 
     fn learn(&mut self, slot: usize, outcome: Outcome, load: Option<Load>, probe: bool) {
-        let now = self.now;
+        let (now, born) = (self.now, self.born);
         let b = &mut self.backends[slot];
         let mean = self.mean_load * b.capacity;
         if let Some(figure) = load.and_then(|l| l.held.or(l.waiting)).filter(|l| (0.0..1e6).contains(l)) {
@@ -192,7 +192,7 @@
         }
         let bad = match outcome {
             Outcome::Served => {
-                if b.lost_at.take().is_some_and(|at| now - at > LOST) {
+                if b.lost_at.take().is_some_and(|at| now - at > LOST || now - born < NEWS) {
                     (b.back_at, self.table_at) = (Some(now), None);
                 }
                 0.0
--- a/src/state.rs
+++ b/src/state.rs
@@ -140,6 +140,8 @@
     pub(crate) settings: Settings,
     pub(crate) rng: Xoshiro128PlusPlus,
     pub(crate) now: Micros,
+    /// When it started: at first its list may be old.
+    pub(crate) born: Micros,
     pub(crate) out: Vec<Action>,
     pub(crate) backends: Vec<Backend>,
     pub(crate) slots: HashMap<ServerId, usize>,
@@ -207,6 +209,7 @@
             settings,
             rng,
             now,
+            born: now,
             out: Vec::new(),
             backends: Vec::new(),
             slots: HashMap::new(),
--- a/tests/keys.rs
+++ b/tests/keys.rs
@@ -112,3 +112,27 @@
     let remembered = format!("{:?}", d.balancer).matches("Backend {").count();
     assert!(remembered <= 64 + 200, "{remembered} servers are remembered");
 }
+
+/// A sidecar that restarts with its zone is given an old list, in which servers that are just starting
+/// stand as warm: one refused connect in its first seconds is word enough.
+#[test]
+fn a_young_balancer_takes_one_refused_connect_for_a_loss() {
+    let share = |age: Micros| {
+        let mut d = Driver::new(settings(), 9, 4);
+        d.wait(age);
+        // Out of reach for 0.2 s: an old balancer takes that for a pause.
+        drop(d.probed(2, Outcome::Unreachable, None));
+        d.wait(200_000);
+        (0..4).for_each(|s| drop(d.probed(s, Outcome::Served, held(2.0))));
+        let mut went = Vec::new();
+        for id in 1..200 {
+            for s in sent(&d.wait(2_000).request(id, 0)) {
+                went.push(s);
+                drop(d.end_after(id, 0, s, Outcome::Served, 30_000, held(2.0)));
+            }
+        }
+        went.iter().filter(|s| **s == 2).count()
+    };
+    let (old, young) = (share(20_000_000), share(1_000_000));
+    assert!(young * 2 < old, "{young} where an old balancer sends {old}");
+}
