Reload on SIGHUP: read the file whole and move the watch, dropping nothing

Cause: nothing caught SIGHUP (src/program/signals.rs caught TERM and INT only), whose default ends the program. Now: SIGHUP is caught from the start on; a faulty file changes nothing and its key is named; a good one moves the watch at once, asking the new discovery for its whole list. A move is no failure, so the module's back-off does not delay it.

--- a/src/main.rs
+++ b/src/main.rs
@@ -5,11 +5,12 @@
 use std::process::ExitCode;
 
 fn run() -> Result<(), String> {
-    let config = Config::load(|name| std::env::var(name).ok()).map_err(|e| format!("configuration: {e}"))?;
+    let read = || Config::load(|name| std::env::var(name).ok());
+    let config = read().map_err(|e| format!("configuration: {e}"))?;
     // One thread: the platform gives the program one core, and routing needs no locks then.
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
     let runtime = runtime.map_err(|e| format!("runtime: {e}"))?;
-    tokio::task::LocalSet::new().block_on(&runtime, start::serve(config, Clock::system()))
+    tokio::task::LocalSet::new().block_on(&runtime, start::serve(config, Clock::system(), read))
 }
 
 fn main() -> ExitCode {
--- a/src/program/config.rs
+++ b/src/program/config.rs
@@ -30,6 +30,8 @@
     pub settings: Settings,
     /// How the platform names classes.
     pub dialect: Dialect,
+    /// The file itself, to tell later what a new one changes.
+    pub file: Value,
 }
 
 impl Config {
@@ -69,6 +71,7 @@
             },
             settings,
             dialect,
+            file: all,
         })
     }
 }
--- a/src/program/mod.rs
+++ b/src/program/mod.rs
@@ -1,8 +1,9 @@
-//! The program: configuration, clock, counters, signals, and the start that joins the layers.
+//! The program: configuration, clock, counters, signals, reload, and the start that joins the layers.
 
 pub mod clock;
 pub mod config;
 pub mod counters;
+pub mod reload;
 pub mod signals;
 pub mod start;
 
--- a/src/program/start.rs
+++ b/src/program/start.rs
@@ -1,7 +1,9 @@
 //! The start: joins the layers, serves, and ends in order.
 
 use super::config::Config;
-use super::{counters, signals, Clock};
+use super::reload::Reload;
+use super::signals::{Asked, Signals};
+use super::{counters, Clock};
 use crate::protocol::request::Classes;
 use crate::routing::time::to_millis;
 use crate::routing::Host;
@@ -23,34 +25,41 @@
 /// How often the end looks whether all is done (ms).
 const LOOK: f64 = 20.0;
 
-/// Runs the sidecar until it is asked to end.
-pub async fn serve(config: Config, clock: Clock) -> Result<(), String> {
-    // Before anything else, so that a signal that comes early ends it in order too.
-    let ended = spawn_local(signals::asked_to_end());
+/// Runs the sidecar until it is asked to end; `read` reads the configuration anew.
+pub async fn serve(
+    config: Config,
+    clock: Clock,
+    read: impl Fn() -> Result<Config, String>,
+) -> Result<(), String> {
+    // Before anything else, so that a signal that comes early is heeded too.
+    let mut signals = Signals::catch().map_err(|e| format!("signals: {e}"))?;
     let socket = TcpListener::bind(config.listen).await;
     let socket = socket.map_err(|e| format!("listen: {}: {e}", config.listen))?;
     let deadline =
         config.settings.classes.iter().map(|c| to_millis(c.give_up)).fold(SHORTEST_DEADLINE, f64::max);
-    let classes = Classes::new(config.dialect, config.settings.classes.clone());
-    let host = Host::new(config.settings, config.seed, clock.now());
+    let classes = Classes::new(config.dialect.clone(), config.settings.classes.clone());
+    let host = Host::new(config.settings.clone(), config.seed, clock.now());
     let (clients, targets) = Budget::share(config.sockets);
     let gateway = Gateway::new(host, classes, targets, clock.reader());
     // The list as it was known last serves until discovery says more. Without one, the empty list
     // still sets the module asking.
     let known = config.known.as_ref();
     gateway.targets(crate::interface::Update::Complete, known.map_or(&[], |k| &k.targets));
+    let (mut reload, discovery) = Reload::new(config);
     spawn_local(gateway.clone().run_timers());
     spawn_local(gateway.clone().run_sweeps());
-    spawn_local(Watcher::new(gateway.clone(), config.discovery).run());
-    let counted = gateway.clone();
-    let print = Box::new(move || counters::print(&counted.counts()));
-    let listener = Listener::new(gateway.clone(), clients, print);
+    spawn_local(Watcher::new(gateway.clone(), discovery).run());
+    let (counted, reloads) = (gateway.clone(), reload.counts());
+    let counts = Rc::new(move || counters::print(&[counted.counts(), reloads.lines().to_vec()].concat()));
+    let listener = Listener::new(gateway.clone(), clients, counts.clone());
     spawn_local(listener.clone().run(socket));
-    eprintln!("roseproxy: {} listens at {}", config.name, config.listen);
+    eprintln!("roseproxy: {} listens at {}", reload.in_force().name, reload.in_force().listen);
 
-    ended.await.map_err(|e| format!("signals: {e}"))?.map_err(|e| format!("signals: {e}"))?;
+    while signals.next().await == Asked::Reload {
+        eprintln!("roseproxy: {}", reload.take(read()));
+    }
     end(&clock, &listener, &gateway, deadline).await;
-    eprint!("{}", counters::print(&gateway.counts()));
+    eprint!("{}", counts());
     Ok(())
 }
 
--- a/src/transport/discovery.rs
+++ b/src/transport/discovery.rs
@@ -10,6 +10,7 @@
 use hyper::StatusCode;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use tokio::sync::watch;
 
 /// Time for a connection to come up, and for an answer to begin: calls wait in turn there (ms).
 const CONNECT: f64 = 1_000.0;
@@ -22,31 +23,45 @@
 /// Keeps up with the target group.
 pub struct Watcher {
     gateway: Rc<Gateway>,
-    address: SocketAddr,
+    /// Where discovery is; a reload may move it.
+    address: watch::Receiver<SocketAddr>,
     /// The version in hand; `None` until the whole list has been fetched, so that it is asked for.
     revision: Option<u64>,
 }
 
 impl Watcher {
     /// A watcher of discovery at this address.
-    pub fn new(gateway: Rc<Gateway>, address: SocketAddr) -> Watcher {
+    pub fn new(gateway: Rc<Gateway>, address: watch::Receiver<SocketAddr>) -> Watcher {
         Watcher { gateway, address, revision: None }
     }
 
     /// Watches whenever routing wants it, and tells it of failures; routing's timers, which the
-    /// module sets with jitter and ever longer, say when to try again. Runs as long as the program.
+    /// module sets with jitter and ever longer, say when to try again. A new address is no failure
+    /// and is asked at once. Runs as long as the program.
     pub async fn run(mut self) {
         loop {
-            self.gateway.watch_wanted().await;
-            // It only ever ends by failing.
-            self.watch().await;
+            let mut moves = self.address.clone();
+            tokio::select! {
+                () = self.gateway.watch_wanted() => {}
+                () = moved(&mut moves) => self.revision = None,
+            }
+            loop {
+                let address = *self.address.borrow_and_update();
+                let mut moves = self.address.clone();
+                tokio::select! {
+                    // It only ever ends by failing.
+                    _ = self.watch(address) => break,
+                    // Another discovery may count its versions otherwise: the whole list is asked for.
+                    () = moved(&mut moves) => self.revision = None,
+                }
+            }
             self.gateway.targets_failed();
         }
     }
 
-    async fn watch(&mut self) -> Option<()> {
-        let host = self.address.to_string();
-        let mut connection = connect(self.address, CONNECT).await?;
+    async fn watch(&mut self, address: SocketAddr) -> Option<()> {
+        let host = address.to_string();
+        let mut connection = connect(address, CONNECT).await?;
         if self.revision.is_none() {
             let fetch = connection.exchange(Outgoing::get(discovery::LIST, &host));
             match tokio::time::timeout(length(ANSWER), fetch).await.ok()? {
@@ -101,3 +116,10 @@
         }
     }
 }
+
+/// Waits for another address; for ever where none can come any more.
+async fn moved(address: &mut watch::Receiver<SocketAddr>) {
+    if address.changed().await.is_err() {
+        std::future::pending().await
+    }
+}
--- a/src/transport/listener.rs
+++ b/src/transport/listener.rs
@@ -61,12 +61,12 @@
     phase: Cell<Phase>,
     accepted_at: Cell<f64>,
     /// Prints the counters.
-    counters: Box<dyn Fn() -> String>,
+    counters: Rc<dyn Fn() -> String>,
 }
 
 impl Listener {
     /// A listener for this gateway's clients.
-    pub fn new(gateway: Rc<Gateway>, budget: Budget, counters: Box<dyn Fn() -> String>) -> Rc<Listener> {
+    pub fn new(gateway: Rc<Gateway>, budget: Budget, counters: Rc<dyn Fn() -> String>) -> Rc<Listener> {
         let accepted_at = Cell::new(gateway.now());
         Rc::new(Listener {
             gateway,
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -36,7 +36,7 @@
 }
 
 /// How an instance's lines are to be read: its class names and the order of its report values.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub struct Dialect {
     classes: Vec<String>,
     report: Vec<String>,
--- a/tests/sockets.rs
+++ b/tests/sockets.rs
@@ -1,7 +1,7 @@
 //! The whole sidecar on loopback sockets, with scripted targets and clients.
 
 use roseproxy::interface::Update;
-use roseproxy::program::{config::Config, Clock};
+use roseproxy::program::{config::Config, reload::Reload, Clock};
 use roseproxy::protocol::discovery;
 use roseproxy::protocol::request::Classes;
 use roseproxy::routing::Host;
@@ -15,6 +15,7 @@
 use std::rc::Rc;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
 use tokio::task::spawn_local;
 
 const OK: &str = "HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\npriced";
@@ -66,7 +67,7 @@
     spawn_local(gateway.clone().run_timers());
     let socket = TcpListener::bind("127.0.0.1:0").await.expect("a port");
     let address = socket.local_addr().expect("bound");
-    let listener = Listener::new(gateway.clone(), Budget::new(clients), Box::new(|| "flows 0\n".into()));
+    let listener = Listener::new(gateway.clone(), Budget::new(clients), Rc::new(|| "flows 0\n".into()));
     spawn_local(listener.clone().run(socket));
     Sidecar { gateway, listener, address }
 }
@@ -279,7 +280,7 @@
         let (socket, address) = port().await;
         let sidecar = sidecar(&[], 8).await;
         assert!(!sidecar.gateway.can_serve());
-        spawn_local(Watcher::new(sidecar.gateway.clone(), address).run());
+        spawn_local(Watcher::new(sidecar.gateway.clone(), watch::channel(address).1).run());
         let target: SocketAddr = "127.0.0.1:9".parse().expect("an address");
         let (mut stream, _) = socket.accept().await.expect("the sidecar connects");
         let fetch = message(&mut stream).await.expect("a request");
@@ -309,6 +310,55 @@
     });
 }
 
+/// A reload that names another discovery: it is asked at once for its whole list, the list in hand stays
+/// until then, and the flow that is open is answered as if nothing had been.
+#[test]
+fn a_reload_moves_the_watch_and_drops_nothing() {
+    scene(async {
+        let ((old, old_address), (new, new_address)) = (port().await, port().await);
+        let (socket, target) = port().await;
+        let sidecar = sidecar(&[target], 8).await;
+        let (mut reload, address) = Reload::new(Config { discovery: old_address, ..config() });
+        spawn_local(Watcher::new(sidecar.gateway.clone(), address).run());
+        let (mut stream, _) = old.accept().await.expect("the sidecar connects");
+        message(&mut stream).await.expect("a request");
+        let mut client = TcpStream::connect(sidecar.address).await.expect("connects");
+        client.write_all(request("place-order", "1", "a").as_bytes()).await.expect("written");
+        let (mut forward, _) = socket.accept().await.expect("the sidecar connects");
+        message(&mut forward).await.expect("a request");
+        reload.take(Ok(Config { discovery: new_address, ..config() }));
+        let (mut moved, _) = new.accept().await.expect("it comes to the new one");
+        let fetch = message(&mut moved).await.expect("a request");
+        assert!(fetch.starts_with("GET /registry/instances HTTP/1.1\r\n"), "{fetch}");
+        assert!(message(&mut stream).await.is_none(), "the old watch is closed");
+        assert!(sidecar.gateway.can_serve(), "the list in hand stays");
+        let counts = sidecar.gateway.counts();
+        assert!(counts.contains(&("discovery_failures".into(), 0)), "a move is no failure");
+        forward.write_all(OK.as_bytes()).await.expect("written");
+        let answer = message(&mut client).await.expect("a whole answer");
+        assert!(answer.ends_with("priced"), "{answer}");
+    });
+}
+
+#[test]
+fn a_faulty_configuration_changes_nothing_and_its_key_is_named() {
+    let (mut reload, address) = Reload::new(config());
+    let before = *address.borrow();
+    let faulty = |text: &str| Config::read(text, |_| None);
+    assert!(reload.take(faulty("{\"name\": ")).contains("not JSON"));
+    let mut file = config().file;
+    file["discovery"] = json!("nowhere");
+    assert!(reload.take(faulty(&file.to_string())).contains("discovery is not an address"));
+    assert!(!address.has_changed().expect("open") && *address.borrow() == before);
+    // A good one that comes next is taken over, and what must wait is named.
+    file["discovery"] = json!("127.0.0.1:10");
+    file["listen"] = json!("127.0.0.1:11");
+    let said = reload.take(faulty(&file.to_string()));
+    assert!(said.contains("moved to 127.0.0.1:10") && said.ends_with("next start: listen"), "{said}");
+    assert!(address.has_changed().expect("open"));
+    assert_eq!(reload.counts().lines().map(|(_, n)| n), [1, 2]);
+}
+
 /// A watch that stays open and says nothing, not even an empty line, is dead. Time is the test's.
 #[test]
 fn a_silent_watch_is_given_up() {
@@ -316,7 +366,7 @@
     tokio::task::LocalSet::new().block_on(&runtime.expect("a runtime"), async {
         let (socket, address) = port().await;
         let sidecar = sidecar(&[], 8).await;
-        spawn_local(Watcher::new(sidecar.gateway.clone(), address).run());
+        spawn_local(Watcher::new(sidecar.gateway.clone(), watch::channel(address).1).run());
         // Connections and requests may cross the paused clock's jumps, so any number of tries is fine;
         // the silent one must end by itself.
         loop {
--- a/tests/start.py
+++ b/tests/start.py
@@ -1,4 +1,4 @@
-"""Starts the real program as the deploy file says, asks it whether it is ready, and ends it."""
+"""Starts the real program as the deploy file says, asks it whether it is ready, reloads and ends it."""
 
 import json
 import os
@@ -56,11 +56,23 @@
         env = {**os.environ, "LB_CONFIG": file.name}
         program = subprocess.Popen(["/bin/sh", "-c", sys.argv[1]], env=env, stderr=subprocess.PIPE, text=True)
         status = ready(f"http://{listen}/health/ready", program)
+        # Two reloads: of a faulty file, which changes nothing, and of one with another discovery.
+        for text in ["{", json.dumps({**config, "discovery": f"127.0.0.1:{free_port()}"})]:
+            file.seek(0)
+            file.truncate()
+            file.write(text)
+            file.flush()
+            program.send_signal(signal.SIGHUP)
+            for line in program.stderr:
+                if "configuration" in line:
+                    break
+        status = max(status, ready(f"http://{listen}/health/ready", program))
         program.send_signal(signal.SIGTERM)
         said = program.communicate()[1]
-    if status != 200 or program.returncode != 0 or "flows_taken 0" not in said:
+    wanted = ["flows_taken 0", "reloads 1", "reloads_faulty 1"]
+    if status != 200 or program.returncode != 0 or not all(w in said for w in wanted):
         sys.exit(f"ready {status}, exit {program.returncode}, said:\n{said}")
-    print("the program starts, is ready, and ends in order")
+    print("the program starts, is ready, reloads, and ends in order")
 
 
 main()
