Refuse for a full fleet only: not for spoilt answers, and not for ever

The counters, polled during a play with the new picture lines, showed one sidecar refusing all of 1300 requests a second from 1 s to 18 s with every server reporting nearly nothing to do (load 0 to 0.7): stay 124 ms, spread 1.05, lateness 0.68 after four time-outs, and no answer left to learn from. At fault, src/policy.rs: on_ended counted every time-out as lateness (a spoilt answer whose length does not fit ends as one), and dispatch had no way back once class_work and spread refused everything: only lateness faded. Now: a time-out counts where the server reports more than half its stated size; after a second of refusing everything the figures learnt from answers start anew. One play is no proof of more than the lock-up's end.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -6,7 +6,7 @@
 
 use crate::interface::*;
 use crate::state::{pick, Attempt, Backend, Held, Kind, Subscription};
-pub use crate::state::{Balancer, Vessel};
+pub use crate::state::{Balancer, Picture, Vessel};
 use rand_core::{RngCore, SeedableRng};
 use rand_xoshiro::Xoshiro128PlusPlus;
 
@@ -15,7 +15,7 @@
 /// How much fuller than the fleet the own zone must be, for each point that crossing costs.
 const ZONE_COST: f64 = 22.0;
 /// Trouble (smoothed share of bad outcomes) at which a server becomes suspect; weight of one outcome.
-const SUSPECT: f64 = 0.5;
+pub(crate) const SUSPECT: f64 = 0.5;
 const GAIN: f64 = 0.3;
 /// First and longest time that a suspect server rests before its trial.
 const REST: (Micros, Micros) = (300_000, 5_000_000);
@@ -25,6 +25,8 @@
 const DOUBT: f64 = 1.5;
 /// How fast refusals grow stricter with the share of own answers that come late.
 const LATE: f64 = 6.0;
+/// Reported load, for each unit of stated size, from which on a time-out tells of a full fleet.
+const BUSY: f64 = 0.5;
 /// Time (microseconds) in which most of what was learnt of late answers is forgotten.
 const FORGET: f64 = 1e6;
 /// Time out of reach after which a server counts as lost, and how late the list may tell of a start.
@@ -91,15 +93,19 @@
 impl Balancer {
     /// A balancer that knows nothing but its settings.
     pub fn new(settings: Settings, seed: u64, now: Micros) -> Self {
-        // First guesses, soon overruled by answers.
-        let class_work: Vec<f64> = settings.classes.iter().map(|c| c.aim as f64 / 4.0).collect();
-        let stay = class_work.iter().sum::<f64>() / class_work.len().max(1) as f64;
         let mut new = Balancer::blank(settings, Xoshiro128PlusPlus::seed_from_u64(seed), now);
-        (new.class_work, new.stay, new.copy_budget) = (class_work, stay.max(1000.0), 1.0);
-        (new.spread, new.trust, new.mean_capacity) = (0.7, 0.7, 1.0);
+        new.guess();
+        (new.copy_budget, new.trust, new.mean_capacity) = (1.0, 0.7, 1.0);
         new
     }
 
+    /// First guesses at what answers tell, soon overruled by them.
+    fn guess(&mut self) {
+        self.class_work = self.settings.classes.iter().map(|c| c.aim as f64 / 4.0).collect();
+        let stay = self.class_work.iter().sum::<f64>() / self.class_work.len().max(1) as f64;
+        (self.stay, self.spread, self.lateness) = (stay.max(1000.0), 0.7, 0.0);
+    }
+
     /// Takes one event and appends what is to be done.
     pub fn handle(&mut self, now: Micros, event: Event, out: &mut Vec<Action>) {
         self.now = now;
@@ -566,8 +572,14 @@
         // A cold server with next to nothing in hand is slow and not full: it warms by work alone.
         let queues = self.warmth(slot) >= 1.0 || self.effective_load(slot) > 1.0;
         if refusable && (forecast > 1.5 * left || (queues && usual > late)) {
-            return self.finish(request);
+            let since = *self.shut_since.get_or_insert(self.now);
+            if ((self.now - since) as f64) < FORGET {
+                return self.finish(request);
+            }
+            // Who refuses all hears no answers, and would by its old figures refuse for ever.
+            self.guess();
         }
+        self.shut_since = None;
         let attempt = Attempt { slot, sent: self.now, outcome: None };
         self.requests.entry(request).and_modify(|h| h.attempts.push(attempt));
         let again = (forecast * (3.0 * self.spread).exp()).max(aim / 4.0);
@@ -595,14 +607,19 @@
         let (attempts, pending) = (held.attempts.len(), held.pending());
         let free = attempts == 1 && held.ran().is_none();
         // A heavy request is late by itself; only usual ones tell of a full fleet. Without hints all are.
-        let usual = !held.hinted || work <= self.class_work[class];
-        if usual && matches!(outcome, Outcome::Served | Outcome::TimedOut) {
-            let late = outcome == Outcome::TimedOut || elapsed > self.settings.classes[class].aim;
+        let hinted = held.hinted;
+        let usual = !hinted || work <= self.class_work[class];
+        // A time-out at a server that says it has little to do tells of that server (it may be cut off, or
+        // answer what is no answer) and not of a full fleet.
+        let timed_out =
+            outcome == Outcome::TimedOut && self.effective_load(slot) > BUSY * self.backends[slot].info.power;
+        if usual && (outcome == Outcome::Served || timed_out) {
+            let late = timed_out || elapsed > self.settings.classes[class].aim;
             self.lateness += (f64::from(u8::from(late)) - self.lateness) * 0.1;
         }
         if outcome == Outcome::Served {
             // Without hints, the time that its answers take stands for the work of a class.
-            let seen = if held.hinted { work } else { elapsed as f64 };
+            let seen = if hinted { work } else { elapsed as f64 };
             self.class_work[class] += (seen - self.class_work[class]) * 0.05;
             self.learn_pace(slot, work, elapsed as f64);
         }
--- a/src/routing/mod.rs
+++ b/src/routing/mod.rs
@@ -129,6 +129,29 @@
         self.members.values().any(|m| m.target.readiness == Readiness::Ready)
     }
 
+    /// What the module makes of the target group, in whole numbers by name: to be held against the
+    /// traffic on the sockets.
+    pub fn picture(&self) -> Vec<(String, u64)> {
+        let p = self.balancer.picture();
+        let millis = |micros: Micros| time::to_millis(micros).max(0.0) as u64;
+        [
+            ("picture_ready", p.ready as u64),
+            ("picture_set_aside", p.set_aside as u64),
+            ("picture_forwards_open", u64::from(p.out)),
+            ("picture_report_age_ms", millis(p.report_age.0)),
+            ("picture_oldest_report_ms", millis(p.report_age.1)),
+            ("picture_load_percent", (p.load * 100.0) as u64),
+            ("picture_stay_ms", millis(p.stay as Micros)),
+            ("picture_spread_percent", (p.spread * 100.0) as u64),
+            ("picture_late_percent", (p.lateness * 100.0) as u64),
+            ("picture_trust_percent", (p.trust * 100.0) as u64),
+            ("flows_open", self.flows.len() as u64),
+            ("forwards_open", self.forwards.len() as u64),
+        ]
+        .map(|(name, value)| (name.to_owned(), value))
+        .to_vec()
+    }
+
     /// Times and figures that the platform set.
     pub fn settings(&self) -> &Settings {
         &self.settings
--- a/src/transport/gateway.rs
+++ b/src/transport/gateway.rs
@@ -159,6 +159,7 @@
             ("targets_idle", self.pool.borrow().len() as u64),
             ("targets_open", self.targets.used() as u64),
         ];
+        lines.extend(self.host.borrow().picture());
         lines.extend(sockets.into_iter().map(|(name, count)| (name.to_owned(), count)));
         lines
     }
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -148,6 +148,50 @@
     assert!(sent_on < 60, "{sent_on} of 100 sent into the jam");
 }
 
+#[test]
+fn who_refuses_all_tries_again_after_a_while() {
+    let mut d = Driver::new(settings(), 8, 4);
+    let ask = |d: &mut Driver, id| {
+        let request = Request { id, class: 1, work: None, key: None, time_left: 1_200_000 };
+        d.event(Event::Request(request))
+    };
+    // Every answer comes late, as at a start; then all servers are empty, but nobody is asked any more.
+    for id in 1..60 {
+        for server in sent(&ask(d.wait(5_000), id)) {
+            d.wait(1_000_000).end_after(id, 0, server, Outcome::Served, 1_000_000, held(1.0));
+        }
+    }
+    let mut refusals = 0;
+    for id in 1000..1300 {
+        (0..4).for_each(|s| drop(d.probed(s, Outcome::Served, held(0.2))));
+        let actions = ask(d.wait(10_000), id);
+        if !sent(&actions).is_empty() {
+            assert!(refusals > 20, "late answers were not believed at all: {refusals}");
+            return;
+        }
+        refusals += usize::from(refused(&actions));
+    }
+    panic!("{refusals} refused in 3 s, with every server empty");
+}
+
+#[test]
+fn time_outs_at_servers_with_little_to_do_refuse_nobody() {
+    let mut d = Driver::new(Settings { second_copies: false, ..settings() }, 8, 4);
+    let turn = std::cell::Cell::new(0);
+    run(&mut d, 1, 200, |_| {
+        turn.set(turn.get() + 1);
+        (Outcome::Served, if turn.get() % 2 == 0 { 20_000 } else { 60_000 }, 0.3)
+    });
+    let out: Vec<_> =
+        (1000..1010).flat_map(|id| sent(&d.request(id, 1)).into_iter().map(move |s| (id, s))).collect();
+    d.wait(100_000);
+    for (id, server) in out {
+        d.end_after(id, 0, server, Outcome::TimedOut, 100_000, None);
+    }
+    let refusals = (2000..2010).filter(|id| refused(&d.request(*id, 1))).count();
+    assert_eq!(refusals, 0, "spoilt answers are no full fleet");
+}
+
 #[test]
 fn repeats_are_bounded_when_everything_times_out() {
     let mut d = Driver::new(Settings { max_attempts: 6, ..settings() }, 8, 8);
