Give probes and the mean load to servers that work; doubt by the fleet's load

At fault, src/policy.rs: probe_for picks the oldest figure of four servers, and dead ones always have the oldest (a suspect's trial probe is another path); refresh_table counted the old figures of servers set aside into the mean load; dispatch doubted a forecast alike in an idle and in a full fleet.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -23,6 +23,8 @@
 const COPIES: (f64, f64) = (0.15, 2.0);
 /// How many times the usual miss a forecast must stay under the aim.
 const DOUBT: f64 = 1.5;
+/// Mean reported load, for each unit of stated size, from which on that counts in full.
+const FULL: f64 = 1.0;
 /// How fast refusals grow stricter with the share of own answers that come late.
 const LATE: f64 = 6.0;
 /// Reported load, for each unit of stated size, from which on a time-out tells of a full fleet.
@@ -355,7 +357,7 @@
         self.faded_at = Some(now);
         self.lateness *= (-passed / FORGET).exp();
         let (mut load, mut age, mut known, mut capacity) = (0.0, 0.0, 0.0, 0.0);
-        let (mut near, mut ready) = (0.0, 1e-9);
+        let (mut near, mut ready, mut size) = (0.0, 1e-9, 1e-9);
         let overdue = 4.0 * self.stay + 100_000.0;
         // An idle connection is closed once keeping it has cost as much as opening it again would.
         let Prices { connection, handshake, .. } = self.settings.prices;
@@ -380,11 +382,13 @@
             ready += if usable { b.capacity } else { 0.0 };
             near += if usable && !self.far(slot) { self.backends[slot].capacity } else { 0.0 };
             let b = &self.backends[slot];
-            if let (Readiness::Ready, Some(at), false) = (b.info.readiness, b.load_at, b.guessed) {
+            // One set aside keeps an old figure, which tells nothing of those that take the work.
+            if let (true, Some(at), false) = (usable, b.load_at, b.guessed) {
                 (load, age) = (load + b.load, age + (now - at) as f64);
-                (known, capacity) = (known + 1.0, capacity + b.capacity);
+                (known, capacity, size) = (known + 1.0, capacity + b.capacity, size + b.info.power);
             }
         }
+        self.fullness = load / size;
         if known > 0.0 {
             (self.mean_load, self.mean_capacity, age) = (load / capacity, capacity / known, age / known);
         }
@@ -448,7 +452,10 @@
             if self.probe_budget >= 1.0 {
                 self.probe_budget -= 1.0;
                 let some: Vec<usize> = (0..4).map(|_| self.rng.next_u64() as usize % n).collect();
-                let fit = some.into_iter().filter(|s| ready(&self.backends[*s]));
+                // Servers set aside have trials of their own: dead ones have the oldest figures, and would
+                // draw nearly all probes.
+                let well = |b: &Backend| ready(b) && b.trouble < SUSPECT;
+                let fit = some.into_iter().filter(|s| well(&self.backends[*s]));
                 if let Some(slot) = fit.min_by_key(|s| self.backends[*s].load_at) {
                     self.probe(slot);
                 }
@@ -555,7 +562,8 @@
         let forecast = pick.map_or(0.0, |slot| self.forecast(slot, work));
         let usual = forecast * (usual / work).min(1.0);
         // Clients ask again at once and a crowded server turns slow for long: a doubt is no benefit.
-        let late = aim * (-self.spread * (DOUBT + LATE * self.lateness)).exp();
+        let doubt = DOUBT * (self.fullness / FULL).clamp(0.0, 1.0);
+        let late = aim * (-self.spread * (doubt + LATE * self.lateness)).exp();
         let Some(held) = self.requests.get(&request) else { return };
         let Some(slot) = pick else {
             // A first send waits for the list, a repeat for the attempt that is still out.
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -192,6 +192,40 @@
     assert_eq!(refusals, 0, "spoilt answers are no full fleet");
 }
 
+#[test]
+fn dead_servers_do_not_draw_the_probes() {
+    let prices = Prices { probe: 0.01, ..Prices::default() };
+    let mut d = Driver::new(Settings { probes: true, prices, ..settings() }, 8, 4);
+    let mut asked = [0; 4];
+    for id in 1..400 {
+        let actions = d.wait(5_000).request(id, 1);
+        for s in probes(&actions) {
+            asked[s as usize] += 1;
+            let end = if s == 1 { (Outcome::Unreachable, None) } else { (Outcome::Served, held(2.0)) };
+            d.probed(s, end.0, end.1);
+        }
+        for s in sent(&actions) {
+            let end = if s == 1 { Outcome::Unreachable } else { Outcome::Served };
+            d.end_after(id, 0, s, end, 12_000, None);
+        }
+        d.event(Event::Expired { request: id });
+    }
+    // 2 s: a few before it is set aside, then its trials.
+    assert!(asked[1] < 20 && asked[0] > 50, "{asked:?}");
+}
+
+#[test]
+fn a_fleet_with_little_to_do_is_given_unsure_work() {
+    let mut d = Driver::new(settings(), 8, 4);
+    let turn = std::cell::Cell::new(0);
+    run(&mut d, 1, 300, |_| {
+        turn.set(turn.get() + 1);
+        (Outcome::Served, if turn.get() % 2 == 0 { 10_000 } else { 150_000 }, 0.2)
+    });
+    let refusals = (2000..2010).filter(|id| refused(&d.request(*id, 1))).count();
+    assert_eq!(refusals, 0, "every answer so far came in half the aim");
+}
+
 #[test]
 fn repeats_are_bounded_when_everything_times_out() {
     let mut d = Driver::new(Settings { max_attempts: 6, ..settings() }, 8, 8);
