Give a client's first head, later heads, bodies and idle time limits of their own

Checked in hyper 1.12: it drops Content-Length beside Transfer-Encoding (proto/h1/role.rs 275 to 298), so a service cannot see both; repeated other headers do reach it. Its head timer runs between requests. At fault: transport/listener.rs (timers, close_idlest counted half a head as idle, graceful_shutdown waits for it), protocol/request.rs (took the first of repeated headers), Gateway::line. Now: transport/head.rs sees the bytes first (begun, framing, what comes behind); the listener ends what is late, turns double framing, repeated headers and open ids away, and reads nothing behind a request that it cannot frame for sure; a shortage is NotSent; connecting takes a quarter of a forward's time at most; 32 descriptors in reserve (48 before), clients get 3/7 of the rest (2/5 before, which was under a third of 256).

--- a/src/protocol/answer.rs
+++ b/src/protocol/answer.rs
@@ -37,6 +37,11 @@
 /// The answer to a request that is not well-formed. Its connection ends, as the rest of it is unread.
 pub fn turned_away(malformed: Malformed) -> Reply {
     let mut reply = plain(malformed.status, format!("{}\n", malformed.reason));
-    reply.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+    end_connection(&mut reply);
     reply
 }
+
+/// Ends the connection behind an answer.
+pub fn end_connection(reply: &mut Reply) {
+    reply.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+}
--- a/src/protocol/request.rs
+++ b/src/protocol/request.rs
@@ -16,6 +16,8 @@
 pub const TENANT: HeaderName = HeaderName::from_static("tenant");
 /// How long the sender waits, in seconds.
 pub const REQUEST_TIMEOUT: HeaderName = HeaderName::from_static("request-timeout");
+/// Headers that say what a request is; each may stand once.
+const IDENTIFYING: [HeaderName; 5] = [HOST, REQUEST_ID, REQUEST_CLASS, TENANT, REQUEST_TIMEOUT];
 /// Longest wait believed (ms): a larger figure would hold memory for a client long gone.
 const LONGEST_WAIT: f64 = 60_000.0;
 
@@ -43,6 +45,8 @@
     pub headers: Vec<(HeaderName, HeaderValue)>,
     /// The body.
     pub body: Bytes,
+    /// The client's id of it.
+    pub id: HeaderValue,
 }
 
 /// The classes of the platform, as requests name them.
@@ -61,6 +65,10 @@
     /// Reads a request's head.
     pub fn read(&self, parts: &Parts) -> Result<NewFlow, Malformed> {
         let bad = |reason| malformed(StatusCode::BAD_REQUEST, reason);
+        // Whoever reads the last of them would see another request than who reads the first.
+        if IDENTIFYING.iter().any(|name| parts.headers.get_all(name).iter().nth(1).is_some()) {
+            return Err(bad("an identifying header stands twice"));
+        }
         let class = self.class(parts)?;
         // The method says whether a repeat is safe; a request that says otherwise than its class must
         // not be repeated by that class's rule.
@@ -123,7 +131,8 @@
         if !parts.headers.contains_key(HOST) {
             headers.push((HOST, HeaderValue::from_static("origin.svc")));
         }
-        Passing { method: parts.method.clone(), path, headers, body }
+        let id = parts.headers.get(REQUEST_ID).cloned().unwrap_or(HeaderValue::from_static(""));
+        Passing { method: parts.method.clone(), path, headers, body, id }
     }
 
     /// The request to a target, with how long this sidecar will wait (ms).
--- a/src/transport/budget.rs
+++ b/src/transport/budget.rs
@@ -5,7 +5,7 @@
 
 /// Descriptors kept for what is not counted: standard streams, the runtime's own, the listener,
 /// discovery, and those that a close has not freed yet.
-const RESERVE: usize = 48;
+const RESERVE: usize = 32;
 
 /// Descriptors of one side.
 #[derive(Clone, Debug)]
@@ -29,7 +29,8 @@
     /// a probe one more of the latter.
     pub fn share(sockets: usize) -> (Budget, Budget) {
         let free = sockets.saturating_sub(RESERVE).max(4);
-        let clients = free * 2 / 5;
+        // The platform's clients hold up to a third of all for their requests; some hold more for none.
+        let clients = free * 3 / 7;
         (Budget::new(clients), Budget::new(free - clients))
     }
 
@@ -46,6 +47,11 @@
         })
     }
 
+    /// Descriptors in all.
+    pub fn limit(&self) -> usize {
+        self.limit
+    }
+
     /// Descriptors in use.
     pub fn used(&self) -> usize {
         self.used.get()
--- a/src/transport/gateway.rs
+++ b/src/transport/gateway.rs
@@ -10,9 +10,10 @@
 use crate::routing::flow::{Answer, FlowId, ForwardEnd, ForwardId, NewFlow, Order, ProbeEnd, Target};
 use crate::routing::time::{to_millis, Now};
 use crate::routing::Host;
+use hyper::header::HeaderValue;
 use hyper::StatusCode;
 use std::cell::{Cell, RefCell};
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use tokio::net::TcpStream;
@@ -21,6 +22,10 @@
 /// How often idle connections are looked through (ms).
 const SWEEP: f64 = 250.0;
 
+/// Share of a forward's time that connecting may take, and the least that it gets (ms).
+const CONNECT_SHARE: f64 = 0.25;
+const CONNECT_LEAST: f64 = 50.0;
+
 /// What the sockets count.
 #[derive(Debug, Default)]
 pub struct Traffic {
@@ -28,6 +33,12 @@
     pub accepted: Cell<u64>,
     /// Accepts that failed, as when descriptors ran out.
     pub accept_errors: Cell<u64>,
+    /// Client connections ended with half a request, or with none within the time for the first.
+    pub late_requests: Cell<u64>,
+    /// Client connections ended as they stood idle.
+    pub closed_idle: Cell<u64>,
+    /// Forwards and probes not sent for want of a descriptor.
+    pub spent: Cell<u64>,
     /// Requests turned away with a 4xx.
     pub malformed: Cell<u64>,
     /// Connections opened to targets.
@@ -65,6 +76,8 @@
     targets: Budget,
     connect_timeout: f64,
     waiting: RefCell<HashMap<FlowId, Waiting>>,
+    /// The clients' ids of the flows that wait.
+    ids: RefCell<HashSet<HeaderValue>>,
     forwards: RefCell<HashMap<ForwardId, Task>>,
     probes: RefCell<HashMap<ServerId, Task>>,
     /// When the timer task will wake, and how to wake it sooner.
@@ -86,6 +99,7 @@
             targets,
             connect_timeout: to_millis(network.connect_timeout),
             waiting: RefCell::default(),
+            ids: RefCell::default(),
             forwards: RefCell::default(),
             probes: RefCell::default(),
             armed: Cell::new(f64::INFINITY),
@@ -99,18 +113,38 @@
         (self.now)()
     }
 
-    /// Takes in a flow; its answer comes on the channel.
-    pub fn take_in(self: &Rc<Self>, new: NewFlow, passing: Passing) -> (FlowId, oneshot::Receiver<Answer>) {
+    /// The program's clock.
+    pub(super) fn clock(&self) -> Now {
+        self.now.clone()
+    }
+
+    /// Takes in a flow; its answer comes on the channel. `None` where a request with its id is open: that
+    /// one belongs to another client, and a target would take this one for a repeat of it.
+    pub fn take_in(
+        self: &Rc<Self>,
+        new: NewFlow,
+        passing: Passing,
+    ) -> Option<(FlowId, oneshot::Receiver<Answer>)> {
+        if !self.ids.borrow_mut().insert(passing.id.clone()) {
+            return None;
+        }
         let (answer, receiver) = oneshot::channel();
         let id = self.host.borrow_mut().take_in(self.now(), new);
         self.waiting.borrow_mut().insert(id, Waiting { passing: Rc::new(passing), answer });
         self.settle();
-        (id, receiver)
+        Some((id, receiver))
+    }
+
+    /// Ends the wait for a flow's answer, and lets go of its id.
+    fn end_wait(&self, id: FlowId) -> Option<Waiting> {
+        let waiting = self.waiting.borrow_mut().remove(&id)?;
+        self.ids.borrow_mut().remove(&waiting.passing.id);
+        Some(waiting)
     }
 
     /// The client of a flow has left. Of one that has its answer this changes nothing.
     pub fn client_gone(self: &Rc<Self>, id: FlowId) {
-        if self.waiting.borrow_mut().remove(&id).is_some() {
+        if self.end_wait(id).is_some() {
             self.host.borrow_mut().client_gone(self.now(), id);
             self.settle();
         }
@@ -150,6 +184,9 @@
         let sockets = [
             ("clients_accepted", t.accepted.get()),
             ("accept_errors", t.accept_errors.get()),
+            ("requests_late", t.late_requests.get()),
+            ("clients_closed_idle", t.closed_idle.get()),
+            ("descriptors_spent", t.spent.get()),
             ("requests_malformed", t.malformed.get()),
             ("targets_connected", t.opened.get()),
             ("targets_reused", t.reused.get()),
@@ -215,9 +252,8 @@
             }
             Order::GiveUp(id) => drop(self.forwards.borrow_mut().remove(&id)),
             Order::Answer(id, answer) => {
-                let waiting = self.waiting.borrow_mut().remove(&id);
                 // A client that has left in this very moment hears nothing; that is no loss.
-                waiting.map(|w| w.answer.send(answer));
+                self.end_wait(id).map(|w| w.answer.send(answer));
             }
             Order::Probe(target, address) => {
                 let task = self.clone().probe(target, address);
@@ -237,9 +273,11 @@
         until: f64,
         passing: Rc<Passing>,
     ) {
-        let (end, load) = match self.line(target, address).await {
-            None => (outcome::of_break(false), None),
-            Some(line) => self.exchange(id, target, until, &passing, line).await,
+        // A target that does not come up must leave time for another.
+        let within = ((until - self.now()) * CONNECT_SHARE).max(CONNECT_LEAST);
+        let (end, load) = match self.line(target, address, within).await {
+            Ok(line) => self.exchange(id, target, until, &passing, line).await,
+            Err(outcome) => (ForwardEnd::Lost(outcome), None),
         };
         self.host.borrow_mut().forward_ended(self.now(), id, end, load);
         self.settle();
@@ -270,16 +308,16 @@
     }
 
     async fn probe(self: Rc<Self>, target: ServerId, address: SocketAddr) {
-        let mut end = ProbeEnd { outcome: Outcome::Unreachable, load: None };
-        if let Some(mut line) = self.line(target, address).await {
-            match line.connection.exchange(Outgoing::get("/stats", "origin.svc")).await {
+        let end = match self.line(target, address, self.connect_timeout).await {
+            Err(outcome) => ProbeEnd { outcome, load: None },
+            Ok(mut line) => match line.connection.exchange(Outgoing::get("/stats", "origin.svc")).await {
                 Exchange::Answered(status, _, body) => {
                     self.keep(target, line);
-                    end = self.read_probe(status, &body);
+                    self.read_probe(status, &body)
                 }
-                Exchange::Broke { .. } => end.outcome = Outcome::Broken,
-            }
-        }
+                Exchange::Broke { .. } => ProbeEnd { outcome: Outcome::Broken, load: None },
+            },
+        };
         self.host.borrow_mut().probe_ended(self.now(), target, end);
         self.settle();
         self.probes.borrow_mut().remove(&target);
@@ -296,22 +334,25 @@
         ProbeEnd { outcome: Outcome::Served, load }
     }
 
-    /// A connection to a target: a kept one, or a new one where the budget has room.
-    async fn line(&self, target: ServerId, address: SocketAddr) -> Option<Line> {
+    /// A connection to a target: a kept one, or a new one where the budget has room. Without one it says
+    /// what that tells: an own shortage of descriptors tells nothing of the target.
+    async fn line(&self, target: ServerId, address: SocketAddr, within: f64) -> Result<Line, Outcome> {
         if let Some(line) = self.pool.borrow_mut().take(self.now(), target, address) {
             count(&self.traffic.reused);
-            return Some(line);
+            return Ok(line);
         }
         let permit = self.targets.permit().or_else(|| {
             self.pool.borrow_mut().evict();
             self.targets.permit()
         });
-        let line = match permit {
-            Some(permit) => connect(address, self.connect_timeout).await.map(|c| (c, permit)),
-            None => None,
+        let Some(permit) = permit else {
+            count(&self.traffic.spent);
+            return Err(Outcome::NotSent);
         };
-        count(if line.is_some() { &self.traffic.opened } else { &self.traffic.unreachable });
-        line.map(|(connection, permit)| Line { connection, address, permit })
+        let connection = connect(address, within.min(self.connect_timeout)).await;
+        count(if connection.is_some() { &self.traffic.opened } else { &self.traffic.unreachable });
+        let connection = connection.ok_or(Outcome::Unreachable)?;
+        Ok(Line { connection, address, permit })
     }
 
     /// Puts a connection back once it is ready for the next request.
--- /dev/null
+++ b/src/transport/head.rs
@@ -0,0 +1,203 @@
+//! What comes in on a client's connection, seen before hyper reads it.
+//!
+//! hyper drops a `Content-Length` that stands beside a `Transfer-Encoding` and goes by the latter, so a
+//! service cannot tell that there were both; and it says nothing of a head that has only begun.
+
+use std::cell::{Cell, RefCell};
+use std::io;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::{ready, Context, Poll};
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::net::TcpStream;
+
+/// How a request says where its body ends.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(super) enum Framing {
+    /// By a length; 0 where none is stated.
+    Length(u64),
+    /// By chunks.
+    #[default]
+    Chunked,
+    /// By both, which may hide another request in the body.
+    Both,
+}
+
+/// The request that comes in, as its bytes arrive.
+#[derive(Debug, Default)]
+pub(super) struct Incoming {
+    /// Since when its first byte is there.
+    begun: Cell<Option<f64>>,
+    /// Its head, until that is whole.
+    head: RefCell<Vec<u8>>,
+    framing: Cell<Option<Framing>>,
+    /// Bytes that came behind its head.
+    behind: Cell<u64>,
+}
+
+impl Incoming {
+    /// Since when a request has begun to come.
+    pub fn begun(&self) -> Option<f64> {
+        self.begun.get()
+    }
+
+    /// How the request is framed, once its head is there.
+    pub fn framing(&self) -> Option<Framing> {
+        self.framing.get()
+    }
+
+    /// Whether it is sure that nothing came behind the request: only then may the next one be read, as
+    /// it would pass unseen.
+    pub fn alone(&self) -> bool {
+        matches!(self.framing.get(), Some(Framing::Length(length)) if self.behind.get() <= length)
+    }
+
+    /// Waits for the next request.
+    pub fn begin_anew(&self) {
+        self.begun.set(None);
+        self.head.borrow_mut().clear();
+        self.framing.set(None);
+        self.behind.set(0);
+    }
+
+    fn take(&self, now: f64, bytes: &[u8], limit: usize) {
+        if self.framing.get().is_some() {
+            return self.behind.set(self.behind.get() + bytes.len() as u64);
+        }
+        self.begun.set(self.begun.get().or(Some(now)));
+        let mut head = self.head.borrow_mut();
+        // Against a head without end; hyper turns it away.
+        let room = (limit + 1).saturating_sub(head.len());
+        head.extend_from_slice(&bytes[..bytes.len().min(room)]);
+        if let Some((end, framing)) = read(&head) {
+            self.behind.set((head.len() - end + bytes.len().saturating_sub(room)) as u64);
+            self.framing.set(Some(framing));
+            // Given back: an idle connection must not hold what a large head needed.
+            *head = Vec::new();
+        }
+    }
+}
+
+/// Where a head ends and how it frames its body; `None` until it is whole. As loose on line ends as
+/// hyper is.
+fn read(head: &[u8]) -> Option<(usize, Framing)> {
+    let (mut at, mut begun) = (0, false);
+    let (mut length, mut coded) = (None, false);
+    for line in head.split_inclusive(|b| *b == b'\n') {
+        at += line.len();
+        let text = line.strip_suffix(b"\n")?;
+        let text = text.strip_suffix(b"\r").unwrap_or(text);
+        if text.is_empty() && begun {
+            let framing = match (length, coded) {
+                (Some(_), true) => Framing::Both,
+                (None, true) => Framing::Chunked,
+                (length, false) => Framing::Length(length.unwrap_or(0)),
+            };
+            return Some((at, framing));
+        }
+        begun |= !text.is_empty();
+        let Some(colon) = text.iter().position(|b| *b == b':') else { continue };
+        let (name, value) = (text[..colon].trim_ascii(), &text[colon + 1..]);
+        if name.eq_ignore_ascii_case(b"transfer-encoding") {
+            coded = true;
+        } else if name.eq_ignore_ascii_case(b"content-length") {
+            // What is no number is hyper's to turn away.
+            length = Some(std::str::from_utf8(value).ok().and_then(|v| v.trim().parse().ok()).unwrap_or(0));
+        }
+    }
+    None
+}
+
+/// A client's stream whose incoming bytes are looked at.
+pub(super) struct Watched {
+    stream: TcpStream,
+    incoming: Rc<Incoming>,
+    now: crate::routing::time::Now,
+    limit: usize,
+}
+
+impl Watched {
+    pub fn new(
+        stream: TcpStream,
+        incoming: Rc<Incoming>,
+        now: crate::routing::time::Now,
+        limit: usize,
+    ) -> Watched {
+        Watched { stream, incoming, now, limit }
+    }
+}
+
+impl AsyncRead for Watched {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let before = buf.filled().len();
+        ready!(Pin::new(&mut self.stream).poll_read(cx, buf))?;
+        let new = &buf.filled()[before..];
+        if !new.is_empty() {
+            self.incoming.take((self.now)(), new, self.limit);
+        }
+        Poll::Ready(Ok(()))
+    }
+}
+
+impl AsyncWrite for Watched {
+    fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write(cx, buf)
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bufs: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write_vectored(cx, bufs)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(cx)
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_head_is_read_as_it_comes_and_as_loosely_as_hyper_does() {
+        let whole = |text: &str| read(text.as_bytes()).map(|(_, framing)| framing);
+        assert_eq!(whole("POST / HTTP/1.1\r\nContent-Length: 3\r\n"), None);
+        assert_eq!(whole("POST / HTTP/1.1\r\ncontent-LENGTH: 3\r\n\r\nabc"), Some(Framing::Length(3)));
+        assert_eq!(whole("GET / HTTP/1.1\n\n"), Some(Framing::Length(0)));
+        assert_eq!(whole("\r\n\r\nPOST / HTTP/1.1\nTransfer-Encoding: x\n\r\n"), Some(Framing::Chunked));
+        for both in
+            ["Content-Length: 3\r\nTransfer-Encoding: chunked", "Transfer-Encoding:chunked\nContent-Length:3"]
+        {
+            assert_eq!(whole(&format!("POST / HTTP/1.1\r\n{both}\r\n\r\n")), Some(Framing::Both));
+        }
+    }
+
+    #[test]
+    fn what_comes_behind_a_request_is_seen() {
+        let incoming = Incoming::default();
+        incoming.take(5.0, b"POST / HTTP/1.1\r\nContent-Length: 3\r\n", 1000);
+        assert_eq!((incoming.begun(), incoming.framing()), (Some(5.0), None));
+        incoming.take(6.0, b"\r\nab", 1000);
+        incoming.take(7.0, b"c", 1000);
+        assert!(incoming.alone() && incoming.begun() == Some(5.0));
+        incoming.take(8.0, b"P", 1000);
+        assert!(!incoming.alone());
+        incoming.begin_anew();
+        assert_eq!((incoming.begun(), incoming.framing()), (None, None));
+    }
+}
--- a/src/transport/listener.rs
+++ b/src/transport/listener.rs
@@ -2,17 +2,18 @@
 
 use super::budget::{Budget, Permit};
 use super::gateway::{count, Gateway};
-use super::length;
-use crate::protocol::answer::{plain, to_client, turned_away, Reply};
+use super::head::{Framing, Incoming, Watched};
+use super::{length, Task};
+use crate::protocol::answer::{end_connection, plain, to_client, turned_away, Reply};
 use crate::protocol::request::{oversized, Malformed, Passing};
 use crate::protocol::BODY_LIMIT;
 use crate::routing::flow::FlowId;
 use http_body_util::{BodyExt, Limited};
-use hyper::body::Incoming;
+use hyper::body::Incoming as Body;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{Request, StatusCode};
-use hyper_util::rt::{TokioIo, TokioTimer};
+use hyper_util::rt::TokioIo;
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::convert::Infallible;
@@ -21,12 +22,18 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Notify;
 
-/// A request's body must be there this long after its head (ms): against clients that hold a
-/// connection with half a request.
-const BODY_TIMEOUT: f64 = 10_000.0;
-/// The same for a head. hyper counts the time between requests too, and clients keep connections: one
-/// that is quiet for a while must not find its connection closed under its next request.
-const HEAD_TIMEOUT: f64 = 90_000.0;
+/// A request must be there whole this long after its first byte, and a new connection's first one this
+/// long after that was accepted (ms): against clients that hold a connection with half a request or
+/// with none. The platform's slowest usual client gives a request up sooner.
+const REQUEST_TIMEOUT: f64 = 2_500.0;
+/// What a body gets of that at least, where its head came late (ms).
+const BODY_TIMEOUT: f64 = 250.0;
+/// How long a connection may stand idle between requests (ms): where more than half of the places are
+/// taken, and else. Clients keep connections, and one that is quiet for a while should not find its
+/// connection closed under its next request; but some keep theirs and never ask again.
+const IDLE: (f64, f64) = (2_000.0, 90_000.0);
+/// How often all that is looked at (ms).
+const LOOK: f64 = 100.0;
 /// Longest head that is read; a larger one gets a 431.
 const HEAD_LIMIT: usize = 16 * 1024;
 /// How long accepting rests after it failed (ms): against a busy loop while descriptors are out.
@@ -48,7 +55,21 @@
 struct Seat {
     /// Since when it has had nothing to do; `None` while a request is on it.
     idle_since: Cell<Option<f64>>,
+    /// Whether a whole head has come on it yet.
+    asked: Cell<bool>,
+    /// What comes in.
+    incoming: Rc<Incoming>,
+    /// Ends it once nothing is on it.
     close: Notify,
+    /// Ends it at once: half a request would hold it open.
+    cut: Notify,
+}
+
+impl Seat {
+    /// Since when it has stood there with nothing asked, not even half.
+    fn idle(&self) -> Option<f64> {
+        self.idle_since.get().filter(|_| self.incoming.begun().is_none())
+    }
 }
 
 /// The client side.
@@ -82,6 +103,7 @@
 
     /// Accepts connections as long as the program runs.
     pub async fn run(self: Rc<Self>, socket: TcpListener) {
+        let _limits: Task = tokio::task::spawn_local(self.clone().keep_limits()).into();
         loop {
             let permit = self.room().await;
             match socket.accept().await {
@@ -110,14 +132,36 @@
         }
     }
 
+    /// Makes room: by a connection that never asked anything, before one of a client that may ask again.
     fn close_idlest(&self) {
         let seats = self.seats.borrow();
-        let idle = seats.values().filter_map(|s| s.idle_since.get().map(|since| (since, s)));
-        if let Some((_, seat)) = idle.min_by(|a, b| a.0.total_cmp(&b.0)) {
+        let idle = seats.values().filter_map(|s| s.idle().map(|since| (s.asked.get(), since, s)));
+        if let Some((.., seat)) = idle.min_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1))) {
             seat.close.notify_one();
         }
     }
 
+    /// Ends connections that hold a place for nothing.
+    async fn keep_limits(self: Rc<Self>) {
+        loop {
+            tokio::time::sleep(length(LOOK)).await;
+            let now = self.gateway.now();
+            let seats = self.seats.borrow();
+            let idle = if seats.len() * 2 > self.budget.limit() { IDLE.0 } else { IDLE.1 };
+            for seat in seats.values() {
+                let Some(since) = seat.idle_since.get() else { continue };
+                let begun = if seat.asked.get() { seat.incoming.begun() } else { Some(since) };
+                if begun.is_some_and(|begun| now - begun >= REQUEST_TIMEOUT) {
+                    count(&self.gateway.traffic.late_requests);
+                    seat.cut.notify_one();
+                } else if seat.idle().is_some_and(|since| now - since >= idle) {
+                    count(&self.gateway.traffic.closed_idle);
+                    seat.close.notify_one();
+                }
+            }
+        }
+    }
+
     async fn serve(self: Rc<Self>, stream: TcpStream, permit: Permit) {
         // Without it answers only come later; the connection is good all the same.
         let _ = stream.set_nodelay(true);
@@ -126,45 +170,67 @@
         self.last.set(self.last.get() + 1);
         let number = self.last.get();
         self.seats.borrow_mut().insert(number, seat.clone());
+        let stream = Watched::new(stream, seat.incoming.clone(), self.gateway.clock(), HEAD_LIMIT);
         let service = service_fn(|request| self.clone().handle(seat.clone(), request));
         let connection = http1::Builder::new()
-            .timer(TokioTimer::new())
-            .header_read_timeout(length(HEAD_TIMEOUT))
+            // `keep_limits` has the time: hyper's would run between requests too.
+            .header_read_timeout(None)
             .max_buf_size(HEAD_LIMIT)
             .keep_alive(self.phase.get() != Phase::Closing)
             .serve_connection(TokioIo::new(stream), service);
         let mut connection = pin!(connection);
-        tokio::select! {
-            // How it ends is the client's business: a flow that was open on it is told by its guard.
-            _ = connection.as_mut() => {}
-            () = seat.close.notified() => {
-                connection.as_mut().graceful_shutdown();
-                let _ = connection.await;
+        let gently = async {
+            tokio::select! {
+                // How it ends is the client's business: a flow that was open on it is told by its guard.
+                _ = connection.as_mut() => {}
+                () = seat.close.notified() => {
+                    connection.as_mut().graceful_shutdown();
+                    let _ = connection.await;
+                }
             }
+        };
+        tokio::select! {
+            () = gently => {}
+            // hyper would wait for the rest of half a head.
+            () = seat.cut.notified() => {}
         }
         self.seats.borrow_mut().remove(&number);
         drop(permit);
         self.freed.notify_one();
     }
 
-    async fn handle(self: Rc<Self>, seat: Rc<Seat>, request: Request<Incoming>) -> Result<Reply, Infallible> {
+    async fn handle(self: Rc<Self>, seat: Rc<Seat>, request: Request<Body>) -> Result<Reply, Infallible> {
+        let came = seat.incoming.begun().or(seat.idle_since.take()).unwrap_or_else(|| self.gateway.now());
         seat.idle_since.set(None);
-        let reply = match request.uri().path() {
+        seat.asked.set(true);
+        let mut reply = match request.uri().path() {
+            // The one that counts depends on the reader, and a body that ends early hides a request.
+            _ if seat.incoming.framing() == Some(Framing::Both) => {
+                let reason = "both Content-Length and Transfer-Encoding";
+                self.turn_away(Malformed { status: StatusCode::BAD_REQUEST, reason })
+            }
             "/health/ready" if self.phase.get() == Phase::Open && self.gateway.can_serve() => {
                 plain(StatusCode::OK, "ready\n")
             }
             "/health/ready" => plain(StatusCode::SERVICE_UNAVAILABLE, "not ready\n"),
             "/health/counters" => plain(StatusCode::OK, (self.counters)()),
-            _ => self.flow(request).await.unwrap_or_else(|malformed| {
-                count(&self.gateway.traffic.malformed);
-                turned_away(malformed)
-            }),
+            _ => self.flow(came, request).await.unwrap_or_else(|malformed| self.turn_away(malformed)),
         };
+        if !seat.incoming.alone() {
+            // What came behind this request would be read unseen; a client that means it asks again.
+            end_connection(&mut reply);
+        }
+        seat.incoming.begin_anew();
         seat.idle_since.set(Some(self.gateway.now()));
         Ok(reply)
     }
 
-    async fn flow(&self, request: Request<Incoming>) -> Result<Reply, Malformed> {
+    fn turn_away(&self, malformed: Malformed) -> Reply {
+        count(&self.gateway.traffic.malformed);
+        turned_away(malformed)
+    }
+
+    async fn flow(&self, came: f64, request: Request<Body>) -> Result<Reply, Malformed> {
         let too_large = Malformed { status: StatusCode::PAYLOAD_TOO_LARGE, reason: "the body is too large" };
         let (parts, body) = request.into_parts();
         let new = self.gateway.classes.read(&parts)?;
@@ -172,7 +238,8 @@
             return Err(too_large);
         }
         let read = Limited::new(body, BODY_LIMIT).collect();
-        let body = match tokio::time::timeout(length(BODY_TIMEOUT), read).await {
+        let within = (came + REQUEST_TIMEOUT - self.gateway.now()).max(BODY_TIMEOUT);
+        let body = match tokio::time::timeout(length(within), read).await {
             Ok(Ok(body)) => body.to_bytes(),
             Ok(Err(e)) if e.is::<http_body_util::LengthLimitError>() => return Err(too_large),
             Ok(Err(_)) => {
@@ -182,7 +249,10 @@
                 return Err(Malformed { status: StatusCode::REQUEST_TIMEOUT, reason: "the body is late" })
             }
         };
-        let (id, answer) = self.gateway.take_in(new, Passing::new(&parts, body));
+        let (id, answer) = self.gateway.take_in(new, Passing::new(&parts, body)).ok_or(Malformed {
+            status: StatusCode::CONFLICT,
+            reason: "a request with this Request-Id is open",
+        })?;
         let guard = Guard { gateway: self.gateway.clone(), id };
         // Routing answers every flow that it took; an answer that never comes is a failure all the same.
         let answer = answer.await.unwrap_or(crate::routing::flow::Answer::Failed);
--- a/src/transport/mod.rs
+++ b/src/transport/mod.rs
@@ -7,6 +7,7 @@
 pub mod connection;
 pub mod discovery;
 mod gateway;
+mod head;
 pub mod listener;
 mod meter;
 pub mod pool;
--- a/tests/connection.rs
+++ b/tests/connection.rs
@@ -67,8 +67,8 @@
 
     fn send(&mut self, body: u8) -> u64 {
         let headers = vec![(HOST, HeaderValue::from_static("origin.svc"))];
-        let body = Bytes::from(vec![b'x'; usize::from(body)]);
-        let outgoing = Passing { method: Method::POST, path: "/put?obj=1".into(), headers, body };
+        let (body, id) = (Bytes::from(vec![b'x'; usize::from(body)]), HeaderValue::from_static("1"));
+        let outgoing = Passing { method: Method::POST, path: "/put?obj=1".into(), headers, body, id };
         let outgoing = outgoing.to_target(480.0);
         assert!(outgoing.request.headers().contains_key(CONTENT_LENGTH));
         let (length, mut connection) = (outgoing.length, self.connection.take().expect("idle"));
--- a/tests/sockets.rs
+++ b/tests/sockets.rs
@@ -56,11 +56,15 @@
 }
 
 async fn sidecar(targets: &[SocketAddr], clients: usize) -> Sidecar {
+    sidecar_with(targets, clients, 20).await
+}
+
+async fn sidecar_with(targets: &[SocketAddr], clients: usize, descriptors: usize) -> Sidecar {
     let config = config();
     let clock = Clock::system();
     let classes = Classes::new(config.dialect, config.settings.classes.clone());
     let host = Host::new(config.settings, config.seed, clock.now());
-    let gateway = Gateway::new(host, classes, Budget::new(20), clock.reader());
+    let gateway = Gateway::new(host, classes, Budget::new(descriptors), clock.reader());
     let group: Vec<_> = targets.iter().map(|t| (*t, "in_service")).collect();
     let known = discovery::read(list(1, true, &group).as_bytes()).expect("a list");
     gateway.targets(Update::Complete, &known.targets);
@@ -202,6 +206,59 @@
     });
 }
 
+/// A request framed twice, with another one hidden where one of the two says that its body goes on.
+fn hiding(framing: &str) -> String {
+    let hidden = request("place-order", "hidden", "");
+    format!("POST /place-order HTTP/1.1\r\nRequest-Id: 1\r\n{framing}\r\n\r\n0\r\n\r\n{hidden}")
+}
+
+#[test]
+fn an_id_that_is_still_open_is_turned_away() {
+    scene(async {
+        let (socket, target) = port().await;
+        let sidecar = sidecar(&[target], 8).await;
+        let mut client = TcpStream::connect(sidecar.address).await.expect("connects");
+        client.write_all(request("place-order", "1", "a").as_bytes()).await.expect("written");
+        let (mut stream, _) = socket.accept().await.expect("the sidecar connects");
+        message(&mut stream).await.expect("a request");
+        let mut other = TcpStream::connect(sidecar.address).await.expect("connects");
+        assert!(ask(&mut other, &request("place-order", "1", "b")).await.starts_with("HTTP/1.1 409"));
+        stream.write_all(OK.as_bytes()).await.expect("written");
+        assert!(message(&mut client).await.expect("a whole answer").ends_with("priced"));
+        // Once it has its answer, nothing of it is kept.
+        client.write_all(request("quote", "1", "").as_bytes()).await.expect("written");
+        message(&mut stream).await.expect("a request");
+    });
+}
+
+/// What came behind a request in one go is not read, as it would pass unseen; the client is told.
+#[test]
+fn a_request_behind_another_ends_the_connection() {
+    scene(async {
+        let sidecar = sidecar(&["127.0.0.1:9".parse().expect("an address")], 8).await;
+        let mut client = TcpStream::connect(sidecar.address).await.expect("connects");
+        let ready = "GET /health/ready HTTP/1.1\r\nHost: a\r\n\r\n";
+        let answer = ask(&mut client, &format!("{ready}{ready}")).await;
+        assert!(answer.contains("connection: close"), "{answer}");
+        assert!(message(&mut client).await.is_none());
+    });
+}
+
+/// No descriptor for a target is an own shortage: the target is not to blame, and nothing ran.
+#[test]
+fn a_spent_budget_blames_no_target() {
+    scene(async {
+        let sidecar = sidecar_with(&["127.0.0.1:9".parse().expect("an address")], 8, 0).await;
+        let mut client = TcpStream::connect(sidecar.address).await.expect("connects");
+        let answer = ask(&mut client, &request("place-order", "1", "a")).await;
+        assert!(answer.starts_with("HTTP/1.1 503"), "{answer}");
+        let counts = sidecar.gateway.counts();
+        let of = |name: &str| counts.iter().find(|(n, _)| n == name).map(|(_, count)| *count);
+        assert_eq!((of("forwards_unreachable"), of("targets_unreachable")), (Some(0), Some(0)));
+        assert!(of("descriptors_spent") > Some(0));
+    });
+}
+
 #[test]
 fn malformed_and_oversized_requests_get_a_4xx_and_go_nowhere() {
     scene(async {
@@ -218,6 +275,10 @@
                 "413",
             ),
             ("POST /place-order HTTP/1.1\r\nRequest-Id: 1\r\nContent-Length: x\r\n\r\n".to_owned(), "400"),
+            ("GET /quote HTTP/1.1\r\nRequest-Id: 1\r\nRequest-Id: 2\r\n\r\n".to_owned(), "400"),
+            ("GET /quote HTTP/1.1\r\nRequest-Id: 1\r\nTenant: a\r\nTenant: a\r\n\r\n".to_owned(), "400"),
+            (hiding("Content-Length: 5\r\nTransfer-Encoding: chunked"), "400"),
+            (hiding("Transfer-Encoding: chunked\r\nContent-Length: 5"), "400"),
         ];
         for (text, status) in texts {
             let mut client = TcpStream::connect(sidecar.address).await.expect("connects");
@@ -225,6 +286,7 @@
             let _ = client.write_all(&text.as_bytes()[..text.len().min(20_000)]).await;
             let answer = message(&mut client).await.unwrap_or_default();
             assert!(answer.starts_with(&format!("HTTP/1.1 {status}")), "{status}: {answer}");
+            assert!(message(&mut client).await.is_none(), "nothing is read behind it");
         }
         assert!(!forwarded.is_finished(), "something of it was forwarded");
     });
@@ -389,6 +451,54 @@
     });
 }
 
+/// Time is the test's; the sidecar's clock follows it.
+#[test]
+fn half_a_request_or_none_does_not_hold_a_connection() {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().start_paused(true).build();
+    tokio::task::LocalSet::new().block_on(&runtime.expect("a runtime"), async {
+        let sidecar = sidecar(&["127.0.0.1:9".parse().expect("an address")], 20).await;
+        let head = "POST /place-order HTTP/1.1\r\nRequest-Id: 1\r\nContent-Length: 5\r\n\r\n";
+        let ready = "GET /health/ready HTTP/1.1\r\nHost: a\r\n\r\n";
+        for (text, end) in [("", ""), ("GET /quote HT", ""), (head, "HTTP/1.1 408")] {
+            for asked in [false, true] {
+                let mut client = TcpStream::connect(sidecar.address).await.expect("connects");
+                if asked {
+                    assert!(ask(&mut client, ready).await.starts_with("HTTP/1.1 200"));
+                }
+                if asked && text.is_empty() {
+                    continue;
+                }
+                client.write_all(text.as_bytes()).await.expect("written");
+                let began = tokio::time::Instant::now();
+                let mut said = String::new();
+                // A close with bytes unread is a reset, which is a close too.
+                let _ = client.read_to_string(&mut said).await;
+                let took = began.elapsed().as_millis();
+                assert!(said.starts_with(end) && took < 2_900, "{text}: {said} after {took} ms");
+            }
+        }
+    });
+}
+
+#[test]
+fn clients_that_never_ask_again_make_room_where_places_run_short() {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().start_paused(true).build();
+    tokio::task::LocalSet::new().block_on(&runtime.expect("a runtime"), async {
+        let sidecar = sidecar(&["127.0.0.1:9".parse().expect("an address")], 3).await;
+        let ready = "GET /health/ready HTTP/1.1\r\nHost: a\r\n\r\n";
+        let began = tokio::time::Instant::now();
+        let mut clients = Vec::new();
+        for _ in 0..2 {
+            let mut client = TcpStream::connect(sidecar.address).await.expect("connects");
+            assert!(ask(&mut client, ready).await.starts_with("HTTP/1.1 200"));
+            clients.push(client);
+        }
+        assert!(message(&mut clients[0]).await.is_none());
+        let took = began.elapsed().as_millis();
+        assert!((2_000..3_000).contains(&took), "{took} ms");
+    });
+}
+
 /// hyper's time for a head runs between requests too: at 10 s it closed connections that clients keep.
 #[test]
 fn a_quiet_client_keeps_its_connection() {
