Never reuse a connection that is not quiet; count a server that turns work away as slower

Cause: Connection::state asked hyper's driver only, which has not been polled yet when close and request meet in one turn of the loop. Now the socket itself is peeked (socket2, in the lock file before as tokio's) right before use: closed, or bytes that belong to no request, and it is dropped. A stated length over 64 KiB and a 101 fail at once (a 3 GB answer was read up to 64 KiB first, one that stalls until its patience ended). The model has spoilt and surplus answers; without the two checks it and the new scene fail. hyper itself turns down noise, lengths that differ and what comes behind an answer: the model says so, nothing was changed for it.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -17,6 +17,8 @@
 /// Trouble (smoothed share of bad outcomes) at which a server becomes suspect; weight of one outcome.
 pub(crate) const SUSPECT: f64 = 0.5;
 const GAIN: f64 = 0.3;
+/// How much slower (in logarithms) a server counts for each request that it turns away.
+const SHUT: f64 = 0.15;
 /// First and longest time that a suspect server rests before its trial.
 const REST: (Micros, Micros) = (300_000, 5_000_000);
 /// Second copies and repeats that each request earns, and how many can be saved up.
@@ -211,6 +213,9 @@
             Outcome::Rejected => {
                 let full = b.load.max(2.0 * mean + 2.0);
                 (b.load, b.load_at, b.guessed) = (full, Some(now), true);
+                // The next report wipes that out, but one that lets only so much in looks empty by its
+                // reports: it counts as slower until its answers say otherwise.
+                b.pace = (b.pace - if probe { 0.0 } else { SHUT }).max(-2.5);
                 0.6
             }
             Outcome::Unreachable => 2.0,
--- a/src/transport/connection.rs
+++ b/src/transport/connection.rs
@@ -6,7 +6,7 @@
 use crate::protocol::BODY_LIMIT;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
 use hyper::client::conn::http1::{handshake, SendRequest};
 use hyper::{HeaderMap, Response, StatusCode};
 use hyper_util::rt::TokioIo;
@@ -39,18 +39,28 @@
 }
 
 /// A connection to a target. Dropping it closes it, whatever is on it.
-#[derive(Debug)]
 pub struct Connection {
     sender: SendRequest<Full<Bytes>>,
     meter: Meter,
     /// The count at which the present request is written whole, while one is out.
     whole_at: Option<u64>,
+    quiet: Quiet,
     _driver: Task,
 }
 
+/// Whether nothing waits to be read on a stream, and its other end has not closed it.
+pub type Quiet = Box<dyn Fn() -> bool>;
+
+impl std::fmt::Debug for Connection {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("Connection").field("state", &self.state()).finish_non_exhaustive()
+    }
+}
+
 impl Connection {
-    /// Starts speaking on an open stream.
-    pub async fn start<S>(stream: S) -> Result<Connection, hyper::Error>
+    /// Starts speaking on an open stream; `quiet` asks the stream itself, as the driver may not have been
+    /// told yet what has come.
+    pub async fn start<S>(stream: S, quiet: Quiet) -> Result<Connection, hyper::Error>
     where
         S: AsyncRead + AsyncWrite + Unpin + 'static,
     {
@@ -58,14 +68,16 @@
         let (sender, driver) = handshake(TokioIo::new(stream)).await?;
         // What goes wrong on it shows in the exchange, or as a closed connection.
         let driver = tokio::task::spawn_local(async move { drop(driver.await) });
-        Ok(Connection { sender, meter, whole_at: None, _driver: driver.into() })
+        Ok(Connection { sender, meter, whole_at: None, quiet, _driver: driver.into() })
     }
 
     /// Where it stands.
     pub fn state(&self) -> State {
         match self.whole_at {
             Some(_) => State::Busy { last_byte_written: self.last_byte_written() },
-            None if self.sender.is_closed() => State::Closed,
+            // A request written after the close is one that may have run; one written behind bytes that
+            // nobody asked for would take them for its answer.
+            None if self.sender.is_closed() || !(self.quiet)() => State::Closed,
             None => State::Idle,
         }
     }
@@ -97,6 +109,12 @@
 
     async fn read(&mut self, answer: Response<Incoming>) -> Exchange {
         let (head, body) = answer.into_parts();
+        // What is no answer to a request of ours: 101 hands the connection over to another protocol, and a
+        // body said to be larger than the platform allows is not waited for.
+        let stated = body.size_hint().lower();
+        if head.status == StatusCode::SWITCHING_PROTOCOLS || stated > BODY_LIMIT as u64 {
+            return self.broke();
+        }
         // Against a body without end: no more is read than the platform allows.
         match Limited::new(body, BODY_LIMIT).collect().await {
             Ok(body) => {
--- a/src/transport/gateway.rs
+++ b/src/transport/gateway.rs
@@ -2,6 +2,7 @@
 
 use super::budget::Budget;
 use super::connection::{Connection, Exchange};
+use super::meter::Shared;
 use super::pool::{Line, Pool};
 use super::{length, Task};
 use crate::interface::{Load, Outcome, ServerId, Update};
@@ -12,8 +13,11 @@
 use crate::routing::Host;
 use hyper::header::HeaderValue;
 use hyper::StatusCode;
+use socket2::SockRef;
 use std::cell::{Cell, RefCell};
 use std::collections::{HashMap, HashSet};
+use std::io::ErrorKind;
+use std::mem::MaybeUninit;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use tokio::net::TcpStream;
@@ -367,11 +371,16 @@
 }
 
 /// Opens a connection, within a time.
-pub(super) async fn connect(address: SocketAddr, within: f64) -> Option<Connection> {
+pub async fn connect(address: SocketAddr, within: f64) -> Option<Connection> {
     let open = async {
-        let stream = TcpStream::connect(address).await.ok()?;
+        let stream = Rc::new(TcpStream::connect(address).await.ok()?);
         stream.set_nodelay(true).ok()?;
-        Connection::start(stream).await.ok()
+        let peeked = stream.clone();
+        let quiet = Box::new(move || {
+            let peek = SockRef::from(&*peeked).peek(&mut [MaybeUninit::uninit()]);
+            peek.is_err_and(|e| e.kind() == ErrorKind::WouldBlock)
+        });
+        Connection::start(Shared(stream), quiet).await.ok()
     };
     tokio::time::timeout(length(within), open).await.ok().flatten()
 }
--- a/src/transport/meter.rs
+++ b/src/transport/meter.rs
@@ -1,11 +1,13 @@
 //! Byte accounting: how much of a request the socket has taken.
 
+use socket2::SockRef;
 use std::cell::Cell;
 use std::io::{self, IoSlice};
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{ready, Context, Poll};
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::net::TcpStream;
 
 /// Bytes that a connection has written; shared with whoever asks.
 #[derive(Clone, Debug, Default)]
@@ -75,3 +77,68 @@
         Pin::new(&mut self.stream).poll_shutdown(cx)
     }
 }
+
+/// A stream that can be asked while another holds it.
+#[derive(Debug)]
+pub(super) struct Shared(pub Rc<TcpStream>);
+
+impl AsyncRead for Shared {
+    fn poll_read(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
+        loop {
+            ready!(self.0.poll_read_ready(cx))?;
+            match self.0.try_read(buf.initialize_unfilled()) {
+                Ok(read) => {
+                    buf.advance(read);
+                    return Poll::Ready(Ok(()));
+                }
+                // It was not ready after all: the next round waits.
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
+                Err(e) => return Poll::Ready(Err(e)),
+            }
+        }
+    }
+}
+
+impl Shared {
+    fn poll_with(
+        &self,
+        cx: &mut Context<'_>,
+        write: impl Fn(&TcpStream) -> io::Result<usize>,
+    ) -> Poll<io::Result<usize>> {
+        loop {
+            ready!(self.0.poll_write_ready(cx))?;
+            match write(&self.0) {
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
+                done => return Poll::Ready(done),
+            }
+        }
+    }
+}
+
+impl AsyncWrite for Shared {
+    fn poll_write(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
+        self.poll_with(cx, |stream| stream.try_write(buf))
+    }
+
+    fn poll_write_vectored(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bufs: &[IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        self.poll_with(cx, |stream| stream.try_write_vectored(bufs))
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        true
+    }
+
+    fn poll_flush(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Poll::Ready(Ok(()))
+    }
+
+    fn poll_shutdown(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        let done = SockRef::from(&*self.0).shutdown(std::net::Shutdown::Write);
+        // One that the other side has closed already needs none.
+        Poll::Ready(done.or_else(|e| if e.kind() == io::ErrorKind::NotConnected { Ok(()) } else { Err(e) }))
+    }
+}
--- a/src/transport/mod.rs
+++ b/src/transport/mod.rs
@@ -12,7 +12,7 @@
 mod meter;
 pub mod pool;
 
-pub use gateway::{Gateway, Traffic};
+pub use gateway::{connect, Gateway, Traffic};
 
 use tokio::task::{AbortHandle, JoinHandle};
 
--- a/tests/connection.rs
+++ b/tests/connection.rs
@@ -20,6 +20,10 @@
     Read(u8),
     /// The target answers whole, also where nobody asked.
     Answer,
+    /// The target answers whole, and more comes right behind.
+    Surplus(u8),
+    /// The target answers what cannot be served; its connection stays open.
+    Spoilt(u8),
     /// The target breaks off inside of its answer.
     Half,
     /// The target closes.
@@ -28,16 +32,32 @@
 
 impl Arbitrary for Step {
     fn arbitrary(g: &mut Gen) -> Step {
-        match u8::arbitrary(g) % 12 {
+        match u8::arbitrary(g) % 14 {
             0..=3 => Step::Send(u8::arbitrary(g)),
             4..=7 => Step::Read(u8::arbitrary(g)),
             8 | 9 => Step::Answer,
             10 => Step::Half,
+            11 => Step::Surplus(u8::arbitrary(g)),
+            12 => Step::Spoilt(u8::arbitrary(g)),
             _ => Step::Close,
         }
     }
 }
 
+const OK: &str = "HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok";
+/// What may come behind an answer: a second copy of it, noise, the begin of a head.
+const BEHIND: [&str; 3] = [OK, "\0\u{1}noise\r\n\r\n", "HTTP/1.1 "];
+/// Answers that cannot be served: no head, a length that is none, lengths that differ, a body far too
+/// large, another protocol, chunks that are none.
+const SPOILT: [&str; 6] = [
+    "\0\u{1}\u{2}noise\r\n\r\n",
+    "HTTP/1.1 200 OK\r\ncontent-length: -2\r\n\r\nok",
+    "HTTP/1.1 200 OK\r\ncontent-length: 2\r\ncontent-length: 3\r\n\r\nok",
+    "HTTP/1.1 200 OK\r\ncontent-length: 3000000000\r\n\r\nok",
+    "HTTP/1.1 101 Switching Protocols\r\nupgrade: x\r\nconnection: upgrade\r\n\r\n",
+    "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\nno\r\nok",
+];
+
 #[derive(Clone, Copy, Debug, PartialEq)]
 enum Model {
     Idle,
@@ -61,7 +81,7 @@
 impl Real {
     async fn new() -> Real {
         let (near, far) = tokio::io::duplex(PIPE as usize);
-        let connection = Connection::start(near).await.expect("a fresh pipe");
+        let connection = Connection::start(near, Box::new(|| true)).await.expect("a fresh pipe");
         Real { connection: Some(connection), running: None, peer: Some(far) }
     }
 
@@ -87,7 +107,8 @@
 
     async fn write(&mut self, text: &[u8]) {
         let peer = self.peer.as_mut().expect("open");
-        peer.write_all(text).await.expect("the near end reads");
+        // It may close in the middle of what it has no use for.
+        let _ = peer.write_all(text).await;
     }
 
     /// The exchange's end, where it has ended; the connection is back then.
@@ -120,18 +141,36 @@
             }
         }
         // Before the whole request has come there is nothing to answer.
-        (Model::Busy { length, read }, Step::Answer | Step::Half) if read < length => Ok(model),
-        (Model::Busy { .. }, Step::Answer) => {
-            real.write(b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok").await;
+        (Model::Busy { length, read }, Step::Answer | Step::Half | Step::Surplus(_) | Step::Spoilt(_))
+            if read < length =>
+        {
+            Ok(model)
+        }
+        (Model::Busy { .. }, Step::Answer | Step::Surplus(_)) => {
+            let (behind, after) = match step {
+                Step::Surplus(n) => (BEHIND[usize::from(*n) % BEHIND.len()], Model::Closed),
+                _ => ("", Model::Idle),
+            };
+            real.write(format!("HTTP/1.1 103 Early Hints\r\n\r\n{OK}{behind}").as_bytes()).await;
             quiet().await;
             match real.ended().await {
-                Some(Exchange::Answered(status, _, body)) if status == 200 && *body == *b"ok" => {
-                    Ok(Model::Idle)
-                }
+                // What came behind it is neither served nor waited for.
+                Some(Exchange::Answered(status, _, body)) if status == 200 && *body == *b"ok" => Ok(after),
                 other => wrong(&format!("no answer but {other:?}")),
             }
         }
-        (Model::Idle, Step::Answer | Step::Half) => {
+        (Model::Busy { .. }, Step::Spoilt(n)) => {
+            real.write(SPOILT[usize::from(*n) % SPOILT.len()].as_bytes()).await;
+            quiet().await;
+            match real.ended().await {
+                Some(Exchange::Broke { last_byte_written: true }) => {
+                    real.connection = None;
+                    Ok(Model::Closed)
+                }
+                other => wrong(&format!("no failure but {other:?}")),
+            }
+        }
+        (Model::Idle, Step::Answer | Step::Half | Step::Surplus(_) | Step::Spoilt(_)) => {
             real.write(b"HTTP/1.1 200 OK\r\n\r\n").await;
             Ok(Model::Closed)
         }
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -324,3 +324,25 @@
     assert!(first.len() > 500);
     assert_eq!(first, day());
 }
+
+#[test]
+fn a_server_that_lets_only_so_much_in_gets_less_however_empty_it_looks() {
+    let mut d = Driver::new(settings(), 8, 4);
+    let turn = std::cell::Cell::new(0);
+    let mut got = [0; 4];
+    for id in 1..600 {
+        let Some(&server) = sent(&d.wait(5_000).request(id, 1)).first() else { continue };
+        got[server as usize] += usize::from(id > 200);
+        turn.set(turn.get() + 1);
+        let (outcome, held_there) = match server {
+            1 if turn.get() % 2 == 0 => (Outcome::Rejected, None),
+            1 => (Outcome::Served, held(0.0)),
+            _ => (Outcome::Served, held(2.0)),
+        };
+        d.wait(10_000).end_after(id, 0, server, outcome, 10_000, held_there);
+        // Its report comes right behind and says that it is empty.
+        d.probed(1, Outcome::Served, held(0.0));
+        d.event(Event::Expired { request: id });
+    }
+    assert!(got[1] < got[0], "{got:?}");
+}
--- a/tests/sockets.rs
+++ b/tests/sockets.rs
@@ -3,12 +3,13 @@
 use roseproxy::interface::Update;
 use roseproxy::program::{config::Config, reload::Reload, Clock};
 use roseproxy::protocol::discovery;
-use roseproxy::protocol::request::Classes;
+use roseproxy::protocol::request::{Classes, Outgoing};
 use roseproxy::routing::Host;
 use roseproxy::transport::budget::Budget;
+use roseproxy::transport::connection::State;
 use roseproxy::transport::discovery::Watcher;
 use roseproxy::transport::listener::{Listener, Phase};
-use roseproxy::transport::Gateway;
+use roseproxy::transport::{connect, Gateway};
 use serde_json::{json, Value};
 use std::future::Future;
 use std::net::SocketAddr;
@@ -176,6 +177,28 @@
     });
 }
 
+/// The close, or bytes that belong to no request, may be there before the program's loop has seen them: a
+/// request written then may have run, or takes them for its answer.
+#[test]
+fn a_connection_that_is_no_longer_quiet_is_not_used_again() {
+    scene(async {
+        let (socket, target) = port().await;
+        let mut connection = connect(target, 1_000.0).await.expect("connects");
+        let (mut stream, _) = socket.accept().await.expect("accepted");
+        let served = spawn_local(async move {
+            message(&mut stream).await.expect("a request");
+            stream.write_all(OK.as_bytes()).await.expect("written");
+            stream
+        });
+        connection.exchange(Outgoing::get("/stats", "a")).await;
+        let stream = served.await.expect("no panic").into_std().expect("a stream");
+        assert!(connection.settle().await && connection.state() == State::Idle);
+        // No turn of the loop lies between the write and the question.
+        std::io::Write::write_all(&mut &stream, OK.as_bytes()).expect("written");
+        assert_eq!(connection.state(), State::Closed);
+    });
+}
+
 #[test]
 fn a_target_that_refuses_connections_proves_that_nothing_ran() {
     scene(async {
