While the fleet has room, let a home that is too full for its keys give them away

Excluded: admission (flows_turned_back 0), attempts that failed (sent = served), the time left, lateness (2% and less). At fault, Balancer::dispatch: a key's first send is drawn at its home, and where the forecast there is not well under the aim it is refused, whatever room others have; a client's repeats meet the same home. Now: up to a mean reported load of 0.7 for each unit of size such a request is drawn by the shares of all.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -25,11 +25,11 @@
 const COPIES: (f64, f64) = (0.15, 2.0);
 /// How many times the usual miss a forecast must stay under the aim.
 const DOUBT: f64 = 1.5;
-/// Mean reported load, for each unit of stated size, from which on that counts in full.
-const FULL: f64 = 1.0;
+/// Mean reported load, for each unit of size, up to which others have room; from which doubt counts in full.
+const FULL: (f64, f64) = (0.7, 1.0);
 /// How fast refusals grow stricter with the share of own answers that come late.
 const LATE: f64 = 6.0;
-/// Reported load, for each unit of stated size, from which on a time-out tells of a full fleet.
+/// The same, at its own server, from which on a time-out tells of a full fleet.
 const BUSY: f64 = 0.5;
 /// Time (microseconds) in which most of what was learnt of late answers is forgotten.
 const FORGET: f64 = 1e6;
@@ -213,8 +213,7 @@
             Outcome::Rejected => {
                 let full = b.load.max(2.0 * mean + 2.0);
                 (b.load, b.load_at, b.guessed) = (full, Some(now), true);
-                // The next report wipes that out, but one that lets only so much in looks empty by its
-                // reports: it counts as slower until its answers say otherwise.
+                // One that lets only so much in looks empty by its next report: it counts as slower.
                 b.pace = (b.pace - if probe { 0.0 } else { SHUT }).max(-2.5);
                 0.6
             }
@@ -457,8 +456,7 @@
             if self.probe_budget >= 1.0 {
                 self.probe_budget -= 1.0;
                 let some: Vec<usize> = (0..4).map(|_| self.rng.next_u64() as usize % n).collect();
-                // Servers set aside have trials of their own: dead ones have the oldest figures, and would
-                // draw nearly all probes.
+                // Those set aside have trials: dead ones have the oldest figures and would draw all probes.
                 let well = |b: &Backend| ready(b) && b.trouble < SUSPECT;
                 let fit = some.into_iter().filter(|s| well(&self.backends[*s]));
                 if let Some(slot) = fit.min_by_key(|s| self.backends[*s].load_at) {
@@ -557,20 +555,25 @@
         if first && home.is_some() {
             set.extend(0..self.backends.len());
         }
-        let pick = if first && set.is_empty() {
+        let mut choice = if first && set.is_empty() {
             pick(&self.table, draw)
         } else {
             self.fill(&set, if fresh { 10_000.0 } else { self.stay }, home);
             pick(&self.shares, draw).map(|i| set[i])
         };
         let left = (deadline - self.now) as f64;
-        let forecast = pick.map_or(0.0, |slot| self.forecast(slot, work));
-        let usual = forecast * (usual / work).min(1.0);
         // Clients ask again at once and a crowded server turns slow for long: a doubt is no benefit.
-        let doubt = DOUBT * (self.fullness / FULL).clamp(0.0, 1.0);
+        let doubt = DOUBT * (self.fullness / FULL.1).clamp(0.0, 1.0);
         let late = aim * (-self.spread * (doubt + LATE * self.lateness)).exp();
+        let part = (usual / work).min(1.0);
+        // With room elsewhere, a home too full for its keys refuses none; else they stay: cold work is dear.
+        if first && home.is_some() && self.fullness < FULL.0 {
+            choice = choice.filter(|s| self.forecast(*s, work) * part <= late).or(pick(&self.table, draw));
+        }
+        let forecast = choice.map_or(0.0, |slot| self.forecast(slot, work));
+        let usual = forecast * part;
         let Some(held) = self.requests.get(&request) else { return };
-        let Some(slot) = pick else {
+        let Some(slot) = choice else {
             // A first send waits for the list, a repeat for the attempt that is still out.
             if first {
                 let after = (deadline - self.now - self.settings.answer_grace).max(0);
@@ -620,10 +623,8 @@
         let (attempts, pending) = (held.attempts.len(), held.pending());
         let free = attempts == 1 && held.ran().is_none();
         // A heavy request is late by itself; only usual ones tell of a full fleet. Without hints all are.
-        let hinted = held.hinted;
-        let usual = !hinted || work <= self.class_work[class];
-        // A time-out at a server that says it has little to do tells of that server (it may be cut off, or
-        // answer what is no answer) and not of a full fleet.
+        let (hinted, usual) = (held.hinted, !held.hinted || work <= self.class_work[class]);
+        // A time-out where there is little to do tells of that server, and not of a full fleet.
         let timed_out =
             outcome == Outcome::TimedOut && self.effective_load(slot) > BUSY * self.backends[slot].info.power;
         if usual && (outcome == Outcome::Served || timed_out) {
