Make one crate a workspace of packages by concern, with seams for a laboratory

The issue of the laboratory wants the whole sidecar in a world of its own. One crate held everything, policy and state needed each other, and transport held TcpStream and a peek at its descriptor.

Packages: decision, routing, platform, transport, roseproxy; dependencies go downward only. The picture of the module's state stands in a file of its own, so that state no longer needs policy. Seams: transport::network (listen, connect, is it quiet), routing::decide (who decides), start::Surroundings (network, clock, log, decider) and signals::Asking. select! branches are in a fixed order and the idle pool in a fixed order too, so that equal runs go equal ways.

--- a/Makefile
+++ b/Makefile
@@ -5,11 +5,11 @@
 	cargo build --release --locked
 
 test:
-	cargo test --locked
+	cargo test --workspace --locked
 
 lint:
-	cargo fmt --check
-	cargo clippy --locked --all-targets -- -D warnings
+	cargo fmt --all --check
+	cargo clippy --workspace --locked --all-targets -- -D warnings
 
 # Wants LB_CONFIG to name a configuration; see README.md.
 run: build
--- a/src/interface.rs
+++ b/crates/decision/src/interface.rs
@@ -12,7 +12,7 @@
 
 /// Identifies a server. Equal at every instance and in every process (a stable hash of its name),
 /// so that nothing depends on the order in which servers were met.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct ServerId(pub u64);
 
 /// What a repeat of a request would do.
--- a/src/lib.rs
+++ b/crates/decision/src/lib.rs
@@ -1,4 +1,4 @@
-//! Decisions of a sidecar load balancer for service-to-service calls.
+//! The decision module: which server gets a request, whether there is another try, what is refused.
 //!
 //! Each client process hosts one [`policy::Balancer`]. It is a state machine without I/O: the host
 //! hands it [`interface::Event`]s with the time they happened and carries out the
@@ -6,8 +6,8 @@
 //! water-fill over late queue reports; see `docs/design.md` for the source and the changes.
 //!
 //! ```
-//! use roseproxy::interface::*;
-//! use roseproxy::policy::Balancer;
+//! use roseproxy_decision::interface::*;
+//! use roseproxy_decision::policy::Balancer;
 //!
 //! let mut settings = Settings::default();
 //! settings.classes.push(Class { aim: 100_000, give_up: 400_000, ..Class::default() });
@@ -23,10 +23,6 @@
 #![warn(missing_docs)]
 
 pub mod interface;
+pub mod picture;
 pub mod policy;
-pub mod program;
-pub mod protocol;
-pub mod routing;
 mod state;
-pub mod transport;
-pub mod wire;
--- a/src/policy.rs
+++ b/crates/decision/src/policy.rs
@@ -1,12 +1,12 @@
-//! All decisions of the balancer. What goes in and out stands in `src/interface.rs`.
+//! All decisions of the balancer. What goes in and out stands in `interface.rs`.
 //!
 //! Every server enters the choice as three numbers: effective load, capacity, share cap. The
 //! water-fill of Theorem 4 (docs/design.md names the paper) turns them into shares, and every send
 //! is a random draw by shares. The rest is health, further attempts, refusals and the list.
 
 use crate::interface::*;
-use crate::state::{pick, Attempt, Backend, Held, Kind, Subscription};
-pub use crate::state::{Balancer, Picture, Vessel};
+use crate::state::{pick, Attempt, Backend, Held, Kind, Subscription, SUSPECT};
+pub use crate::state::{Balancer, Vessel};
 use rand_core::{RngCore, SeedableRng};
 use rand_xoshiro::Xoshiro128PlusPlus;
 
@@ -14,8 +14,7 @@
 const PROBE_SPEND: f64 = 0.008;
 /// How much fuller than the fleet the own zone must be, for each point that crossing costs.
 const ZONE_COST: f64 = 22.0;
-/// Trouble (smoothed share of bad outcomes) at which a server becomes suspect; weight of one outcome.
-pub(crate) const SUSPECT: f64 = 0.5;
+/// Weight of one outcome in a server's trouble.
 const GAIN: f64 = 0.3;
 /// First and longest time that a suspect server rests before its trial.
 const REST: (Micros, Micros) = (300_000, 5_000_000);
--- a/src/state.rs
+++ b/crates/decision/src/state.rs
@@ -1,11 +1,13 @@
 //! What the policy remembers. Types only; every decision stands in `policy.rs`.
 
 use crate::interface::{Action, ClassId, Micros, Outcome, Readiness, RequestId, Server, ServerId, Settings};
-use crate::policy::SUSPECT;
 use rand_core::RngCore;
 use rand_xoshiro::Xoshiro128PlusPlus;
 use std::collections::HashMap;
 
+/// Trouble (smoothed share of bad outcomes) at which a server becomes suspect.
+pub(crate) const SUSPECT: f64 = 0.5;
+
 /// One server of a water-fill: the three numbers by which it is judged.
 #[derive(Clone, Copy, Debug)]
 pub struct Vessel {
@@ -244,46 +246,3 @@
         }
     }
 }
-
-/// What a balancer makes of its servers at this moment, for operators to hold against what they see.
-#[derive(Clone, Copy, Debug, Default, PartialEq)]
-pub struct Picture {
-    /// Servers in service, and those of them set aside for trouble.
-    pub ready: usize,
-    /// Servers set aside.
-    pub set_aside: usize,
-    /// Own attempts counted open.
-    pub out: u32,
-    /// Age of the reports in use: the mean and the oldest (microseconds).
-    pub report_age: (Micros, Micros),
-    /// Mean reported load of a server of mean capacity.
-    pub load: f64,
-    /// Smoothed time that a request stays at a server (microseconds).
-    pub stay: f64,
-    /// How far (in logarithms) answers are off their forecast.
-    pub spread: f64,
-    /// Smoothed share of attempts answered late or never.
-    pub lateness: f64,
-    /// How far reports are worth more than the fleet's mean.
-    pub trust: f64,
-}
-
-impl Balancer {
-    /// The picture as of the last event.
-    pub fn picture(&self) -> Picture {
-        let ready = || self.backends.iter().filter(|b| b.ready());
-        let ages: Vec<Micros> = ready().filter_map(|b| b.load_at.map(|at| self.now - at)).collect();
-        let mean = ages.iter().sum::<Micros>() / ages.len().max(1) as Micros;
-        Picture {
-            ready: ready().count(),
-            set_aside: ready().filter(|b| b.trouble >= SUSPECT).count(),
-            out: self.backends.iter().map(|b| b.out).sum(),
-            report_age: (mean, ages.into_iter().max().unwrap_or(0)),
-            load: self.mean_load * self.mean_capacity,
-            stay: self.stay,
-            spread: self.spread,
-            lateness: self.lateness,
-            trust: self.trust,
-        }
-    }
-}
--- a/tests/common/mod.rs
+++ b/crates/decision/tests/common/mod.rs
@@ -1,8 +1,8 @@
 //! Drives one balancer event by event.
 #![allow(dead_code)]
 
-use roseproxy::interface::*;
-use roseproxy::policy::Balancer;
+use roseproxy_decision::interface::*;
+use roseproxy_decision::policy::Balancer;
 
 pub const START: Micros = 50_000_000;
 
--- a/tests/failures.rs
+++ b/crates/decision/tests/failures.rs
@@ -2,7 +2,7 @@
 
 mod common;
 use common::*;
-use roseproxy::interface::*;
+use roseproxy_decision::interface::*;
 
 /// Sends requests 5 ms apart; `answer` says how each server ends its attempt, after how long and with
 /// what load. Returns how many first sends each server got.
--- a/tests/keys.rs
+++ b/crates/decision/tests/keys.rs
@@ -3,7 +3,7 @@
 mod common;
 
 use common::*;
-use roseproxy::interface::*;
+use roseproxy_decision::interface::*;
 
 fn keyed_request(d: &mut Driver, id: RequestId, key: u64) -> Vec<Action> {
     let request = Request { id, class: 0, work: None, key: Some(key), time_left: 1_200_000 };
--- a/tests/limits.rs
+++ b/crates/decision/tests/limits.rs
@@ -9,7 +9,7 @@
     for (number, line) in POLICY.lines().enumerate() {
         assert!(line.chars().count() <= 110, "line {} is too long", number + 1);
     }
-    assert!(POLICY.lines().take(5).any(|l| l.contains("src/interface.rs")), "the top names the interface");
+    assert!(POLICY.lines().take(5).any(|l| l.contains("interface.rs")), "the top names the interface");
 }
 
 #[test]
--- a/tests/rules.rs
+++ b/crates/decision/tests/rules.rs
@@ -3,7 +3,7 @@
 
 mod common;
 use common::*;
-use roseproxy::interface::*;
+use roseproxy_decision::interface::*;
 
 const SAFE: ClassId = 0;
 const UNSAFE: ClassId = 1;
@@ -248,8 +248,10 @@
         let first = timers(&start);
         // The driver's own first list has set a timer already; one more before the call sets none.
         assert!(first.is_empty());
-        let mut d =
-            Driver { balancer: roseproxy::policy::Balancer::new(settings.clone(), seed, START), now: START };
+        let mut d = Driver {
+            balancer: roseproxy_decision::policy::Balancer::new(settings.clone(), seed, START),
+            now: START,
+        };
         let (token, after) = timers(&d.list(Update::Complete, &[server(1)]))[0];
         assert!(after <= 2_000_000);
         delays.push(after);
--- a/tests/water_fill.rs
+++ b/crates/decision/tests/water_fill.rs
@@ -1,6 +1,6 @@
 //! The water-fill against the paper's worked example and at its edges.
 
-use roseproxy::policy::{water_fill, Vessel};
+use roseproxy_decision::policy::{water_fill, Vessel};
 
 fn fill(loads: &[f64], m: f64) -> Vec<f64> {
     let vessels: Vec<_> = loads.iter().map(|&load| Vessel { load, capacity: 1.0, cap: 1.0 }).collect();
--- a/src/protocol/answer.rs
+++ b/crates/platform/src/answer.rs
@@ -1,11 +1,11 @@
 //! Answers to the application.
 
 use super::request::Malformed;
-use crate::routing::flow::Answer;
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::header::{HeaderValue, CONNECTION, CONTENT_TYPE, RETRY_AFTER};
 use hyper::{Response, StatusCode};
+use roseproxy_routing::flow::Answer;
 
 /// An answer in HTTP.
 pub type Reply = Response<Full<Bytes>>;
--- a/src/protocol/discovery.rs
+++ b/crates/platform/src/discovery.rs
@@ -1,8 +1,8 @@
 //! Discovery's lists of config servers: the target group and its changes.
 
-use crate::interface::{Readiness, ServerId, Update};
-use crate::routing::flow::Target;
 use crate::wire::tag;
+use roseproxy_decision::interface::{Readiness, ServerId, Update};
+use roseproxy_routing::flow::Target;
 use serde_json::Value;
 
 /// Where the whole list is.
--- a/src/protocol/load.rs
+++ b/crates/platform/src/load.rs
@@ -1,7 +1,7 @@
 //! Load reports: `TEXT inflight=7, queue=2, util=0.61`.
 
-use crate::interface::Load;
 use hyper::header::{HeaderMap, HeaderName};
+use roseproxy_decision::interface::Load;
 
 const SERVER_LOAD: HeaderName = HeaderName::from_static("server-load");
 
--- a/src/protocol/outcome.rs
+++ b/crates/platform/src/outcome.rs
@@ -1,10 +1,10 @@
 //! What a target's answer, or the lack of one, says of a forward.
 
-use crate::interface::Outcome;
-use crate::routing::flow::ForwardEnd;
 use bytes::Bytes;
 use hyper::header::HeaderName;
 use hyper::{HeaderMap, StatusCode};
+use roseproxy_decision::interface::Outcome;
+use roseproxy_routing::flow::ForwardEnd;
 
 const NOT_STARTED: HeaderName = HeaderName::from_static("not-started");
 
--- a/src/protocol/request.rs
+++ b/crates/platform/src/request.rs
@@ -1,12 +1,12 @@
 //! Requests: from the application's form to a flow, and on to a target.
 
-use crate::interface::{Class, ClassId, Effect};
-use crate::routing::flow::NewFlow;
 use crate::wire::{tag, Dialect};
 use bytes::Bytes;
 use hyper::header::{HeaderName, HeaderValue, CONTENT_LENGTH, HOST};
 use hyper::http::request::Parts;
 use hyper::{HeaderMap, Method, StatusCode, Uri};
+use roseproxy_decision::interface::{Class, ClassId, Effect};
+use roseproxy_routing::flow::NewFlow;
 
 /// The client's id of a request.
 pub const REQUEST_ID: HeaderName = HeaderName::from_static("request-id");
--- a/src/wire.rs
+++ b/crates/platform/src/wire.rs
@@ -1,6 +1,6 @@
 //! The simulator's wire: text lines to [`Event`]s and [`Action`]s to text lines. No decisions here.
 
-use crate::interface::*;
+use roseproxy_decision::interface::*;
 use serde_json::Value;
 use std::collections::HashMap;
 use std::fmt::Write;
--- a/src/bin/roseproxy-adapter.rs
+++ b/crates/roseproxy/src/bin/roseproxy-adapter.rs
@@ -1,9 +1,9 @@
 //! Hosts balancer instances behind the simulator's wire on standard input and output.
 #![forbid(unsafe_code)]
 
-use roseproxy::interface::{Action, Event, Micros, Server, Settings};
-use roseproxy::policy::Balancer;
-use roseproxy::wire::{parse, Dialect, Line, Names, LISTS};
+use roseproxy_decision::interface::{Action, Event, Micros, Server, Settings};
+use roseproxy_decision::policy::Balancer;
+use roseproxy_platform::wire::{parse, Dialect, Line, Names, LISTS};
 use std::collections::HashMap;
 use std::io::{self, BufRead, Write};
 use std::process::ExitCode;
--- a/src/program/clock.rs
+++ b/crates/roseproxy/src/clock.rs
@@ -1,6 +1,6 @@
 //! The one clock of the program.
 
-use crate::routing::time::Now;
+use roseproxy_routing::time::Now;
 use std::cell::Cell;
 use std::rc::Rc;
 use std::time::{SystemTime, UNIX_EPOCH};
@@ -28,6 +28,11 @@
         Clock::System { origin: Instant::now(), epoch }
     }
 
+    /// A running clock that begins at this time: of a world of its own, where the runtime's time is set.
+    pub fn from(epoch: f64) -> Clock {
+        Clock::System { origin: Instant::now(), epoch }
+    }
+
     /// A clock that stands at this time.
     pub fn manual(millis: f64) -> Clock {
         Clock::Manual(Rc::new(Cell::new(millis)))
--- a/src/program/config.rs
+++ b/crates/roseproxy/src/config.rs
@@ -1,8 +1,8 @@
 //! The one place where configuration is read, checked and given defaults.
 
-use crate::interface::Settings;
-use crate::protocol::discovery::{self, Listing};
-use crate::wire::{read_settings, Dialect};
+use roseproxy_decision::interface::Settings;
+use roseproxy_platform::discovery::{self, Listing};
+use roseproxy_platform::wire::{read_settings, Dialect};
 use serde_json::Value;
 use std::net::SocketAddr;
 
--- a/src/program/mod.rs
+++ b/crates/roseproxy/src/lib.rs
@@ -1,5 +1,8 @@
 //! The program: configuration, clock, counters, signals, reload, and the start that joins the layers.
 
+#![forbid(unsafe_code)]
+#![warn(missing_docs)]
+
 pub mod clock;
 pub mod config;
 pub mod counters;
--- a/src/main.rs
+++ b/crates/roseproxy/src/main.rs
@@ -1,8 +1,12 @@
 //! The sidecar: one program on real sockets round the decision module.
 #![forbid(unsafe_code)]
 
-use roseproxy::program::{config::Config, start, Clock};
+use roseproxy::signals::Signals;
+use roseproxy::start::{serve, Surroundings};
+use roseproxy::{config::Config, Clock};
+use roseproxy_transport::network::Tcp;
 use std::process::ExitCode;
+use std::rc::Rc;
 
 fn run() -> Result<(), String> {
     let read = || Config::load(|name| std::env::var(name).ok());
@@ -10,7 +14,15 @@
     // One thread: the platform gives the program one core, and routing needs no locks then.
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
     let runtime = runtime.map_err(|e| format!("runtime: {e}"))?;
-    tokio::task::LocalSet::new().block_on(&runtime, start::serve(config, Clock::system(), read))
+    tokio::task::LocalSet::new().block_on(&runtime, async {
+        // Before anything else, so that a signal that comes early is heeded too.
+        let signals = Signals::catch().map_err(|e| format!("signals: {e}"))?;
+        let say: Rc<dyn Fn(&str)> = Rc::new(|line| eprintln!("roseproxy: {line}"));
+        let around = Surroundings { network: Tcp, clock: Clock::system(), say, decider: None };
+        let counts = serve(config, around, signals, read).await?;
+        eprint!("{counts}");
+        Ok(())
+    })
 }
 
 fn main() -> ExitCode {
--- a/src/program/signals.rs
+++ b/crates/roseproxy/src/signals.rs
@@ -1,5 +1,6 @@
 //! Signals: to end, and to read the configuration again.
 
+use std::future::Future;
 use std::io;
 use tokio::signal::unix::{signal, Signal, SignalKind};
 
@@ -30,9 +31,16 @@
             hup: signal(SignalKind::hangup())?,
         })
     }
+}
+
+/// Where the program hears what it is asked for.
+pub trait Asking {
+    /// Waits for the next thing asked.
+    fn next(&mut self) -> impl Future<Output = Asked>;
+}
 
-    /// Waits for the next one.
-    pub async fn next(&mut self) -> Asked {
+impl Asking for Signals {
+    async fn next(&mut self) -> Asked {
         tokio::select! {
             // The end wins where both wait.
             biased;
@@ -42,3 +50,10 @@
         }
     }
 }
+
+impl Asking for tokio::sync::mpsc::UnboundedReceiver<Asked> {
+    /// Who holds the program in hand has let go of it: it ends.
+    async fn next(&mut self) -> Asked {
+        self.recv().await.unwrap_or(Asked::End)
+    }
+}
--- a/src/program/start.rs
+++ b/crates/roseproxy/src/start.rs
@@ -2,17 +2,18 @@
 
 use super::config::Config;
 use super::reload::Reload;
-use super::signals::{Asked, Signals};
+use super::signals::{Asked, Asking};
 use super::{counters, Clock};
-use crate::protocol::request::Classes;
-use crate::routing::time::to_millis;
-use crate::routing::Host;
-use crate::transport::budget::Budget;
-use crate::transport::discovery::Watcher;
-use crate::transport::listener::{Listener, Phase};
-use crate::transport::Gateway;
+use roseproxy_platform::request::Classes;
+use roseproxy_routing::decide::Decider;
+use roseproxy_routing::time::to_millis;
+use roseproxy_routing::Host;
+use roseproxy_transport::budget::Budget;
+use roseproxy_transport::discovery::Watcher;
+use roseproxy_transport::listener::{Listener, Phase};
+use roseproxy_transport::network::Network;
+use roseproxy_transport::Gateway;
 use std::rc::Rc;
-use tokio::net::TcpListener;
 use tokio::task::spawn_local;
 
 /// How long after the signal everything goes on as usual, as clients still come (ms).
@@ -25,26 +26,42 @@
 /// How often the end looks whether all is done (ms).
 const LOOK: f64 = 20.0;
 
-/// Runs the sidecar until it is asked to end; `read` reads the configuration anew.
-pub async fn serve(
+/// What stands round the program.
+pub struct Surroundings<N> {
+    /// Where streams come from.
+    pub network: N,
+    /// The time.
+    pub clock: Clock,
+    /// Takes lines for the log.
+    pub say: Rc<dyn Fn(&str)>,
+    /// Who decides; `None` for the decision module.
+    pub decider: Option<Box<dyn Decider>>,
+}
+
+/// Runs the sidecar until it is asked to end; `read` reads the configuration anew. Returns the counters
+/// as text.
+pub async fn serve<N: Network>(
     config: Config,
-    clock: Clock,
+    around: Surroundings<N>,
+    mut asking: impl Asking,
     read: impl Fn() -> Result<Config, String>,
-) -> Result<(), String> {
-    // Before anything else, so that a signal that comes early is heeded too.
-    let mut signals = Signals::catch().map_err(|e| format!("signals: {e}"))?;
-    let socket = TcpListener::bind(config.listen).await;
+) -> Result<String, String> {
+    let Surroundings { network, clock, say, decider } = around;
+    let socket = network.listen(config.listen).await;
     let socket = socket.map_err(|e| format!("listen: {}: {e}", config.listen))?;
     let deadline =
         config.settings.classes.iter().map(|c| to_millis(c.give_up)).fold(SHORTEST_DEADLINE, f64::max);
     let classes = Classes::new(config.dialect.clone(), config.settings.classes.clone());
-    let host = Host::new(config.settings.clone(), config.seed, clock.now());
+    let host = match decider {
+        None => Host::new(config.settings.clone(), config.seed, clock.now()),
+        Some(decider) => Host::with(config.settings.clone(), decider),
+    };
     let (clients, targets) = Budget::share(config.sockets);
-    let gateway = Gateway::new(host, classes, targets, clock.reader());
+    let gateway = Gateway::new(network, host, classes, targets, clock.reader());
     // The list as it was known last serves until discovery says more. Without one, the empty list
     // still sets the module asking.
     let known = config.known.as_ref();
-    gateway.targets(crate::interface::Update::Complete, known.map_or(&[], |k| &k.targets));
+    gateway.targets(roseproxy_decision::interface::Update::Complete, known.map_or(&[], |k| &k.targets));
     let (mut reload, discovery) = Reload::new(config);
     spawn_local(gateway.clone().run_timers());
     spawn_local(gateway.clone().run_sweeps());
@@ -53,19 +70,18 @@
     let counts = Rc::new(move || counters::print(&[counted.counts(), reloads.lines().to_vec()].concat()));
     let listener = Listener::new(gateway.clone(), clients, counts.clone());
     spawn_local(listener.clone().run(socket));
-    eprintln!("roseproxy: {} listens at {}", reload.in_force().name, reload.in_force().listen);
+    say(&format!("{} listens at {}", reload.in_force().name, reload.in_force().listen));
 
-    while signals.next().await == Asked::Reload {
-        eprintln!("roseproxy: {}", reload.take(read()));
+    while asking.next().await == Asked::Reload {
+        say(&reload.take(read()));
     }
     end(&clock, &listener, &gateway, deadline).await;
-    eprint!("{}", counts());
-    Ok(())
+    Ok(counts())
 }
 
 /// Serves on while clients still come, answers all that was taken, and returns when that is done or
 /// the kill is near.
-async fn end(clock: &Clock, listener: &Rc<Listener>, gateway: &Rc<Gateway>, deadline: f64) {
+async fn end<N: Network>(clock: &Clock, listener: &Rc<Listener<N>>, gateway: &Rc<Gateway<N>>, deadline: f64) {
     let asked = clock.now();
     listener.enter(Phase::Leaving);
     sleep(LEAVING).await;
--- a/tests/protocol.rs
+++ b/crates/roseproxy/tests/protocol.rs
@@ -2,11 +2,11 @@
 
 use bytes::Bytes;
 use hyper::{HeaderMap, Request, StatusCode};
-use roseproxy::interface::{Outcome, Readiness, Update};
-use roseproxy::program::config::Config;
-use roseproxy::protocol::request::{oversized, Classes, Malformed};
-use roseproxy::protocol::{answer, discovery, load, outcome};
-use roseproxy::routing::flow::{Answer, ForwardEnd, NewFlow};
+use roseproxy::config::Config;
+use roseproxy_decision::interface::{Outcome, Readiness, Update};
+use roseproxy_platform::request::{oversized, Classes, Malformed};
+use roseproxy_platform::{answer, discovery, load, outcome};
+use roseproxy_routing::flow::{Answer, ForwardEnd, NewFlow};
 use serde_json::{json, Value};
 
 fn config() -> Value {
@@ -48,7 +48,7 @@
 fn a_head_says_class_key_and_time() {
     let new = read(quote().header("Request-Class", "quote")).expect("good");
     assert_eq!((new.class, new.time_left), (0, 480.0));
-    assert_eq!(new.key, Some(roseproxy::wire::tag("7f3a")));
+    assert_eq!(new.key, Some(roseproxy_platform::wire::tag("7f3a")));
     let new = read(Request::post("/place-order").header("Request-Id", "9b1f")).expect("good");
     assert_eq!((new.class, new.key, new.time_left), (1, None, 2000.0));
 }
--- a/tests/sockets.rs
+++ b/crates/roseproxy/tests/sockets.rs
@@ -1,15 +1,16 @@
 //! The whole sidecar on loopback sockets, with scripted targets and clients.
 
-use roseproxy::interface::Update;
-use roseproxy::program::{config::Config, reload::Reload, Clock};
-use roseproxy::protocol::discovery;
-use roseproxy::protocol::request::{Classes, Outgoing};
-use roseproxy::routing::Host;
-use roseproxy::transport::budget::Budget;
-use roseproxy::transport::connection::State;
-use roseproxy::transport::discovery::Watcher;
-use roseproxy::transport::listener::{Listener, Phase};
-use roseproxy::transport::{connect, Gateway};
+use roseproxy::{config::Config, reload::Reload, Clock};
+use roseproxy_decision::interface::Update;
+use roseproxy_platform::discovery;
+use roseproxy_platform::request::{Classes, Outgoing};
+use roseproxy_routing::Host;
+use roseproxy_transport::budget::Budget;
+use roseproxy_transport::connection::State;
+use roseproxy_transport::discovery::Watcher;
+use roseproxy_transport::listener::{Listener, Phase};
+use roseproxy_transport::network::Tcp;
+use roseproxy_transport::{connect, Gateway};
 use serde_json::{json, Value};
 use std::future::Future;
 use std::net::SocketAddr;
@@ -51,8 +52,8 @@
 }
 
 struct Sidecar {
-    gateway: Rc<Gateway>,
-    listener: Rc<Listener>,
+    gateway: Rc<Gateway<Tcp>>,
+    listener: Rc<Listener<Tcp>>,
     address: SocketAddr,
 }
 
@@ -65,7 +66,7 @@
     let clock = Clock::system();
     let classes = Classes::new(config.dialect, config.settings.classes.clone());
     let host = Host::new(config.settings, config.seed, clock.now());
-    let gateway = Gateway::new(host, classes, Budget::new(descriptors), clock.reader());
+    let gateway = Gateway::new(Tcp, host, classes, Budget::new(descriptors), clock.reader());
     let group: Vec<_> = targets.iter().map(|t| (*t, "in_service")).collect();
     let known = discovery::read(list(1, true, &group).as_bytes()).expect("a list");
     gateway.targets(Update::Complete, &known.targets);
@@ -183,7 +184,7 @@
 fn a_connection_that_is_no_longer_quiet_is_not_used_again() {
     scene(async {
         let (socket, target) = port().await;
-        let mut connection = connect(target, 1_000.0).await.expect("connects");
+        let mut connection = connect(&Tcp, target, 1_000.0).await.expect("connects");
         let (mut stream, _) = socket.accept().await.expect("accepted");
         let served = spawn_local(async move {
             message(&mut stream).await.expect("a request");
--- a/src/routing/book.rs
+++ b/crates/routing/src/book.rs
@@ -1,7 +1,7 @@
 //! Stage 6: what is counted of all that.
 
 use super::flow::Answer;
-use crate::interface::Outcome;
+use roseproxy_decision::interface::Outcome;
 
 /// Counts since the start.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
--- a/src/routing/flow.rs
+++ b/crates/routing/src/flow.rs
@@ -1,7 +1,7 @@
 //! The words of routing: flows, forwards, targets, and the orders it gives.
 
-use crate::interface::{ClassId, Load, Outcome, Readiness, ServerId};
 use bytes::Bytes;
+use roseproxy_decision::interface::{ClassId, Load, Outcome, Readiness, ServerId};
 use std::net::SocketAddr;
 
 /// The program's own number of a flow; a client's `Request-Id` only passes through.
--- a/src/routing/mod.rs
+++ b/crates/routing/src/lib.rs
@@ -6,8 +6,12 @@
 //! a second front can go through the same decisions and rules. A flow passes the stages [`take_in`],
 //! [`admit`], [`route`], [`send`], [`relay`] and [`book`], a file each.
 
+#![forbid(unsafe_code)]
+#![warn(missing_docs)]
+
 pub mod admit;
 pub mod book;
+pub mod decide;
 pub mod flow;
 pub mod relay;
 pub mod route;
@@ -16,10 +20,11 @@
 pub mod time;
 mod timers;
 
-use crate::interface::{Action, Micros, Outcome, Readiness, ServerId, Settings};
-use crate::policy::Balancer;
 use book::Book;
+use decide::Decider;
 use flow::{FlowId, ForwardId, Order, Target};
+use roseproxy_decision::interface::{Action, Micros, Outcome, Readiness, ServerId, Settings};
+use roseproxy_decision::policy::Balancer;
 use std::collections::{HashMap, VecDeque};
 use timers::{Due, Timers};
 
@@ -61,9 +66,8 @@
 }
 
 /// The host of one instance of the module.
-#[derive(Debug)]
 pub struct Host {
-    balancer: Balancer,
+    balancer: Box<dyn Decider>,
     settings: Settings,
     flows: HashMap<FlowId, Flow>,
     forwards: HashMap<ForwardId, Forward>,
@@ -79,10 +83,16 @@
 }
 
 impl Host {
-    /// A host that knows no target yet.
+    /// A host of the decision module that knows no target yet.
     pub fn new(settings: Settings, seed: u64, now: f64) -> Host {
+        let balancer = Balancer::new(settings.clone(), seed, time::to_micros(now));
+        Host::with(settings, Box::new(balancer))
+    }
+
+    /// A host of whoever decides.
+    pub fn with(settings: Settings, balancer: Box<dyn Decider>) -> Host {
         Host {
-            balancer: Balancer::new(settings.clone(), seed, time::to_micros(now)),
+            balancer,
             settings,
             flows: HashMap::new(),
             forwards: HashMap::new(),
--- a/src/routing/relay.rs
+++ b/crates/routing/src/relay.rs
@@ -3,7 +3,7 @@
 use super::flow::{Answer, FlowId, Order};
 use super::timers::Due;
 use super::Host;
-use crate::interface::Event;
+use roseproxy_decision::interface::Event;
 
 /// How long after a flow's deadline the guard below waits for the module's own answer (ms).
 const GUARD: f64 = 5.0;
--- a/src/routing/route.rs
+++ b/crates/routing/src/route.rs
@@ -3,7 +3,7 @@
 use super::flow::{Answer, Order, ProbeEnd};
 use super::timers::Due;
 use super::{micros_since, time, Host, PROBE_PATIENCE};
-use crate::interface::{Action, Event, Outcome, ServerId};
+use roseproxy_decision::interface::{Action, Event, Outcome, ServerId};
 
 impl Host {
     /// Tells the module, carries out what it wants, and tells it in turn what came of that.
--- a/src/routing/send.rs
+++ b/crates/routing/src/send.rs
@@ -3,7 +3,7 @@
 use super::flow::{Answer, FlowId, ForwardEnd, ForwardId, Order};
 use super::timers::Due;
 use super::{micros_since, time, Ending, Forward, Host};
-use crate::interface::{Event, Load, Micros, Outcome, Readiness, ServerId};
+use roseproxy_decision::interface::{Event, Load, Micros, Outcome, Readiness, ServerId};
 
 impl Host {
     pub(super) fn send(&mut self, now: f64, flow: FlowId, target: ServerId, timeout: Option<Micros>) {
--- a/src/routing/take_in.rs
+++ b/crates/routing/src/take_in.rs
@@ -2,7 +2,7 @@
 
 use super::flow::{FlowId, NewFlow, Target};
 use super::{time, Flow, Host, Member, SPARE};
-use crate::interface::{Event, Readiness, Request, Server, Update};
+use roseproxy_decision::interface::{Event, Readiness, Request, Server, Update};
 
 impl Host {
     /// Takes a request that a client sent whole. From here on it is owed exactly one answer, which
--- a/src/routing/time.rs
+++ b/crates/routing/src/time.rs
@@ -1,6 +1,6 @@
 //! The one place where the program's milliseconds become the module's microseconds.
 
-use crate::interface::Micros;
+use roseproxy_decision::interface::Micros;
 use std::rc::Rc;
 
 /// Reads the program's clock: milliseconds since the Unix epoch, never going back.
--- a/src/routing/timers.rs
+++ b/crates/routing/src/timers.rs
@@ -1,7 +1,7 @@
 //! What is to happen later, in order of time; equal times in the order they were set.
 
 use super::flow::{FlowId, ForwardId};
-use crate::interface::ServerId;
+use roseproxy_decision::interface::ServerId;
 use std::cmp::Ordering;
 use std::collections::BinaryHeap;
 
--- a/tests/routing.rs
+++ b/crates/routing/tests/routing.rs
@@ -2,10 +2,11 @@
 
 use bytes::Bytes;
 use quickcheck::{Arbitrary, Gen, QuickCheck, TestResult};
-use roseproxy::interface::{Class, Effect, Network, Outcome, Prices, Readiness, ServerId, Settings, Update};
-use roseproxy::program::Clock;
-use roseproxy::routing::flow::{Answer, FlowId, ForwardEnd, ForwardId, NewFlow, Order, ProbeEnd, Target};
-use roseproxy::routing::Host;
+use roseproxy_decision::interface::{
+    Class, Effect, Network, Outcome, Prices, Readiness, ServerId, Settings, Update,
+};
+use roseproxy_routing::flow::{Answer, FlowId, ForwardEnd, ForwardId, NewFlow, Order, ProbeEnd, Target};
+use roseproxy_routing::Host;
 use std::collections::HashMap;
 
 const QUOTE: usize = 0;
@@ -34,7 +35,7 @@
 }
 
 struct Rig {
-    clock: Clock,
+    clock: f64,
     host: Host,
     out: Vec<(ForwardId, ServerId)>,
     answers: HashMap<FlowId, Vec<Answer>>,
@@ -44,21 +45,21 @@
 
 impl Rig {
     fn new() -> Rig {
-        let clock = Clock::manual(1_000_000.0);
-        let host = Host::new(settings(), 11, clock.now());
+        let clock = 1_000_000.0;
+        let host = Host::new(settings(), 11, clock);
         let (out, answers, given_up, probes) = (Vec::new(), HashMap::new(), Vec::new(), Vec::new());
         let mut rig = Rig { clock, host, out, answers, given_up, probes };
         let group: Vec<Target> = (0..3).map(|i| target(i, Readiness::Ready)).collect();
-        rig.host.targets(rig.clock.now(), Update::Complete, &group);
+        rig.host.targets(rig.clock, Update::Complete, &group);
         rig
     }
 
     fn now(&self) -> f64 {
-        self.clock.now()
+        self.clock
     }
 
     fn wait(&mut self, millis: f64) {
-        self.clock.set(self.now() + millis);
+        self.clock += millis;
         self.host.tick(self.now());
         self.orders();
     }
@@ -148,7 +149,7 @@
     assert!(rig.host.may_write(rig.now(), id));
     rig.host.targets(rig.now(), Update::Changes, &[target(to.0, Readiness::Draining)]);
     assert!(rig.host.may_write(rig.now(), id), "a drain leaves some grace");
-    rig.clock.set(rig.now() + 1000.0);
+    rig.clock += 1000.0;
     assert!(!rig.host.may_write(rig.now(), id), "and no more than that");
     rig.end(id, ForwardEnd::Lost(Outcome::NotSent));
     let again: Vec<_> = rig.out.iter().map(|(_, to)| *to).collect();
--- a/src/transport/connection.rs
+++ b/crates/transport/src/connection.rs
@@ -1,15 +1,16 @@
 //! One connection to a target: hyper's client, with the bytes of each request counted.
 
 use super::meter::{Meter, Metered};
+use super::network::Quiet;
 use super::Task;
-use crate::protocol::request::Outgoing;
-use crate::protocol::BODY_LIMIT;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::{Body, Incoming};
 use hyper::client::conn::http1::{handshake, SendRequest};
 use hyper::{HeaderMap, Response, StatusCode};
 use hyper_util::rt::TokioIo;
+use roseproxy_platform::request::Outgoing;
+use roseproxy_platform::BODY_LIMIT;
 use tokio::io::{AsyncRead, AsyncWrite};
 
 /// Where a connection stands.
@@ -48,9 +49,6 @@
     _driver: Task,
 }
 
-/// Whether nothing waits to be read on a stream, and its other end has not closed it.
-pub type Quiet = Box<dyn Fn() -> bool>;
-
 impl std::fmt::Debug for Connection {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
         f.debug_struct("Connection").field("state", &self.state()).finish_non_exhaustive()
--- a/src/transport/discovery.rs
+++ b/crates/transport/src/discovery.rs
@@ -2,12 +2,13 @@
 
 use super::gateway::{connect, count, Gateway};
 use super::length;
-use crate::protocol::discovery::{self, Listing};
-use crate::protocol::request::Outgoing;
-use crate::transport::connection::Exchange;
+use super::network::Network;
+use crate::connection::Exchange;
 use bytes::BytesMut;
 use http_body_util::BodyExt;
 use hyper::StatusCode;
+use roseproxy_platform::discovery::{self, Listing};
+use roseproxy_platform::request::Outgoing;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use tokio::sync::watch;
@@ -21,17 +22,17 @@
 const LONGEST_LINE: usize = 1 << 20;
 
 /// Keeps up with the target group.
-pub struct Watcher {
-    gateway: Rc<Gateway>,
+pub struct Watcher<N> {
+    gateway: Rc<Gateway<N>>,
     /// Where discovery is; a reload may move it.
     address: watch::Receiver<SocketAddr>,
     /// The version in hand; `None` until the whole list has been fetched, so that it is asked for.
     revision: Option<u64>,
 }
 
-impl Watcher {
+impl<N: Network> Watcher<N> {
     /// A watcher of discovery at this address.
-    pub fn new(gateway: Rc<Gateway>, address: watch::Receiver<SocketAddr>) -> Watcher {
+    pub fn new(gateway: Rc<Gateway<N>>, address: watch::Receiver<SocketAddr>) -> Watcher<N> {
         Watcher { gateway, address, revision: None }
     }
 
@@ -42,6 +43,7 @@
         loop {
             let mut moves = self.address.clone();
             tokio::select! {
+                biased;
                 () = self.gateway.watch_wanted() => {}
                 () = moved(&mut moves) => self.revision = None,
             }
@@ -49,6 +51,7 @@
                 let address = *self.address.borrow_and_update();
                 let mut moves = self.address.clone();
                 tokio::select! {
+                    biased;
                     // It only ever ends by failing.
                     _ = self.watch(address) => break,
                     // Another discovery may count its versions otherwise: the whole list is asked for.
@@ -61,7 +64,7 @@
 
     async fn watch(&mut self, address: SocketAddr) -> Option<()> {
         let host = address.to_string();
-        let mut connection = connect(address, CONNECT).await?;
+        let mut connection = connect(self.gateway.network(), address, CONNECT).await?;
         if self.revision.is_none() {
             let fetch = connection.exchange(Outgoing::get(discovery::LIST, &host));
             match tokio::time::timeout(length(ANSWER), fetch).await.ok()? {
--- a/src/transport/gateway.rs
+++ b/crates/transport/src/gateway.rs
@@ -2,25 +2,21 @@
 
 use super::budget::Budget;
 use super::connection::{Connection, Exchange};
-use super::meter::Shared;
+use super::network::Network;
 use super::pool::{Line, Pool};
 use super::{length, Task};
-use crate::interface::{Load, Outcome, ServerId, Update};
-use crate::protocol::request::{Classes, Outgoing, Passing};
-use crate::protocol::{load, outcome};
-use crate::routing::flow::{Answer, FlowId, ForwardEnd, ForwardId, NewFlow, Order, ProbeEnd, Target};
-use crate::routing::time::{to_millis, Now};
-use crate::routing::Host;
 use hyper::header::HeaderValue;
 use hyper::StatusCode;
-use socket2::SockRef;
+use roseproxy_decision::interface::{Load, Outcome, ServerId, Update};
+use roseproxy_platform::request::{Classes, Outgoing, Passing};
+use roseproxy_platform::{load, outcome};
+use roseproxy_routing::flow::{Answer, FlowId, ForwardEnd, ForwardId, NewFlow, Order, ProbeEnd, Target};
+use roseproxy_routing::time::{to_millis, Now};
+use roseproxy_routing::Host;
 use std::cell::{Cell, RefCell};
 use std::collections::{HashMap, HashSet};
-use std::io::ErrorKind;
-use std::mem::MaybeUninit;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use tokio::net::TcpStream;
 use tokio::sync::{oneshot, Notify};
 
 /// How often idle connections are looked through (ms).
@@ -69,7 +65,8 @@
 }
 
 /// Carries out routing's orders on sockets and reports back.
-pub struct Gateway {
+pub struct Gateway<N> {
+    network: N,
     host: RefCell<Host>,
     now: Now,
     /// How requests name their classes.
@@ -90,18 +87,19 @@
     watch: Notify,
 }
 
-impl Gateway {
+impl<N: Network> Gateway<N> {
     /// Joins a host with the network.
-    pub fn new(host: Host, classes: Classes, targets: Budget, now: Now) -> Rc<Gateway> {
-        let network = host.settings().network;
+    pub fn new(network: N, host: Host, classes: Classes, targets: Budget, now: Now) -> Rc<Gateway<N>> {
+        let figures = host.settings().network;
         Rc::new(Gateway {
+            network,
             host: RefCell::new(host),
             now,
             classes,
             traffic: Traffic::default(),
-            pool: RefCell::new(Pool::new(to_millis(network.conn_idle))),
+            pool: RefCell::new(Pool::new(to_millis(figures.conn_idle))),
             targets,
-            connect_timeout: to_millis(network.connect_timeout),
+            connect_timeout: to_millis(figures.connect_timeout),
             waiting: RefCell::default(),
             ids: RefCell::default(),
             forwards: RefCell::default(),
@@ -117,6 +115,11 @@
         (self.now)()
     }
 
+    /// Where its streams come from.
+    pub(super) fn network(&self) -> &N {
+        &self.network
+    }
+
     /// The program's clock.
     pub(super) fn clock(&self) -> Now {
         self.now.clone()
@@ -212,6 +215,8 @@
             self.armed.set(due.unwrap_or(f64::INFINITY));
             match due {
                 Some(due) => tokio::select! {
+                    // In this order, so that equal runs go equal ways.
+                    biased;
                     () = tokio::time::sleep(length(due - self.now())) => {}
                     () = self.rearm.notified() => {}
                 },
@@ -353,7 +358,7 @@
             count(&self.traffic.spent);
             return Err(Outcome::NotSent);
         };
-        let connection = connect(address, within.min(self.connect_timeout)).await;
+        let connection = connect(&self.network, address, within.min(self.connect_timeout)).await;
         count(if connection.is_some() { &self.traffic.opened } else { &self.traffic.unreachable });
         let connection = connection.ok_or(Outcome::Unreachable)?;
         Ok(Line { connection, address, permit })
@@ -371,16 +376,10 @@
 }
 
 /// Opens a connection, within a time.
-pub async fn connect(address: SocketAddr, within: f64) -> Option<Connection> {
+pub async fn connect<N: Network>(network: &N, address: SocketAddr, within: f64) -> Option<Connection> {
     let open = async {
-        let stream = Rc::new(TcpStream::connect(address).await.ok()?);
-        stream.set_nodelay(true).ok()?;
-        let peeked = stream.clone();
-        let quiet = Box::new(move || {
-            let peek = SockRef::from(&*peeked).peek(&mut [MaybeUninit::uninit()]);
-            peek.is_err_and(|e| e.kind() == ErrorKind::WouldBlock)
-        });
-        Connection::start(Shared(stream), quiet).await.ok()
+        let (stream, quiet) = network.connect(address).await.ok()?;
+        Connection::start(stream, quiet).await.ok()
     };
     tokio::time::timeout(length(within), open).await.ok().flatten()
 }
--- a/src/transport/head.rs
+++ b/crates/transport/src/head.rs
@@ -9,7 +9,6 @@
 use std::rc::Rc;
 use std::task::{ready, Context, Poll};
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
-use tokio::net::TcpStream;
 
 /// How a request says where its body ends.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -109,25 +108,25 @@
 }
 
 /// A client's stream whose incoming bytes are looked at.
-pub(super) struct Watched {
-    stream: TcpStream,
+pub(super) struct Watched<S> {
+    stream: S,
     incoming: Rc<Incoming>,
-    now: crate::routing::time::Now,
+    now: roseproxy_routing::time::Now,
     limit: usize,
 }
 
-impl Watched {
+impl<S> Watched<S> {
     pub fn new(
-        stream: TcpStream,
+        stream: S,
         incoming: Rc<Incoming>,
-        now: crate::routing::time::Now,
+        now: roseproxy_routing::time::Now,
         limit: usize,
-    ) -> Watched {
+    ) -> Watched<S> {
         Watched { stream, incoming, now, limit }
     }
 }
 
-impl AsyncRead for Watched {
+impl<S: AsyncRead + Unpin> AsyncRead for Watched<S> {
     fn poll_read(
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
@@ -143,7 +142,7 @@
     }
 }
 
-impl AsyncWrite for Watched {
+impl<S: AsyncWrite + Unpin> AsyncWrite for Watched<S> {
     fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
         Pin::new(&mut self.stream).poll_write(cx, buf)
     }
--- a/src/transport/mod.rs
+++ b/crates/transport/src/lib.rs
@@ -1,8 +1,11 @@
 //! Sockets: the listener, connections to targets and to discovery, byte accounting, socket budget.
 //!
-//! [`Gateway`] joins them with [`crate::routing`]: it carries out routing's orders on the network and
+//! [`Gateway`] joins them with [`roseproxy_routing`]: it carries out routing's orders on the network and
 //! reports back what came of them.
 
+#![forbid(unsafe_code)]
+#![warn(missing_docs)]
+
 pub mod budget;
 pub mod connection;
 pub mod discovery;
@@ -10,6 +13,7 @@
 mod head;
 pub mod listener;
 mod meter;
+pub mod network;
 pub mod pool;
 
 pub use gateway::{connect, Gateway, Traffic};
--- a/src/transport/listener.rs
+++ b/crates/transport/src/listener.rs
@@ -3,23 +3,23 @@
 use super::budget::{Budget, Permit};
 use super::gateway::{count, Gateway};
 use super::head::{Framing, Incoming, Watched};
+use super::network::Network;
 use super::{length, Task};
-use crate::protocol::answer::{end_connection, plain, to_client, turned_away, Reply};
-use crate::protocol::request::{oversized, Malformed, Passing};
-use crate::protocol::BODY_LIMIT;
-use crate::routing::flow::FlowId;
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming as Body;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{Request, StatusCode};
 use hyper_util::rt::TokioIo;
+use roseproxy_platform::answer::{end_connection, plain, to_client, turned_away, Reply};
+use roseproxy_platform::request::{oversized, Malformed, Passing};
+use roseproxy_platform::BODY_LIMIT;
+use roseproxy_routing::flow::FlowId;
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::convert::Infallible;
 use std::pin::pin;
 use std::rc::Rc;
-use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Notify;
 
 /// A request must be there whole this long after its first byte, and a new connection's first one this
@@ -73,8 +73,8 @@
 }
 
 /// The client side.
-pub struct Listener {
-    gateway: Rc<Gateway>,
+pub struct Listener<N> {
+    gateway: Rc<Gateway<N>>,
     budget: Budget,
     seats: RefCell<BTreeMap<u64, Rc<Seat>>>,
     last: Cell<u64>,
@@ -85,9 +85,9 @@
     counters: Rc<dyn Fn() -> String>,
 }
 
-impl Listener {
+impl<N: Network> Listener<N> {
     /// A listener for this gateway's clients.
-    pub fn new(gateway: Rc<Gateway>, budget: Budget, counters: Rc<dyn Fn() -> String>) -> Rc<Listener> {
+    pub fn new(gateway: Rc<Gateway<N>>, budget: Budget, counters: Rc<dyn Fn() -> String>) -> Rc<Listener<N>> {
         let accepted_at = Cell::new(gateway.now());
         Rc::new(Listener {
             gateway,
@@ -102,12 +102,12 @@
     }
 
     /// Accepts connections as long as the program runs.
-    pub async fn run(self: Rc<Self>, socket: TcpListener) {
+    pub async fn run(self: Rc<Self>, socket: N::Listener) {
         let _limits: Task = tokio::task::spawn_local(self.clone().keep_limits()).into();
         loop {
             let permit = self.room().await;
-            match socket.accept().await {
-                Ok((stream, _)) => {
+            match self.gateway.network().accept(&socket).await {
+                Ok(stream) => {
                     count(&self.gateway.traffic.accepted);
                     self.accepted_at.set(self.gateway.now());
                     tokio::task::spawn_local(self.clone().serve(stream, permit));
@@ -162,9 +162,7 @@
         }
     }
 
-    async fn serve(self: Rc<Self>, stream: TcpStream, permit: Permit) {
-        // Without it answers only come later; the connection is good all the same.
-        let _ = stream.set_nodelay(true);
+    async fn serve(self: Rc<Self>, stream: N::Accepted, permit: Permit) {
         let seat = Rc::new(Seat::default());
         seat.idle_since.set(Some(self.gateway.now()));
         self.last.set(self.last.get() + 1);
@@ -181,6 +179,7 @@
         let mut connection = pin!(connection);
         let gently = async {
             tokio::select! {
+                biased;
                 // How it ends is the client's business: a flow that was open on it is told by its guard.
                 _ = connection.as_mut() => {}
                 () = seat.close.notified() => {
@@ -190,6 +189,7 @@
             }
         };
         tokio::select! {
+            biased;
             () = gently => {}
             // hyper would wait for the rest of half a head.
             () = seat.cut.notified() => {}
@@ -255,7 +255,7 @@
         })?;
         let guard = Guard { gateway: self.gateway.clone(), id };
         // Routing answers every flow that it took; an answer that never comes is a failure all the same.
-        let answer = answer.await.unwrap_or(crate::routing::flow::Answer::Failed);
+        let answer = answer.await.unwrap_or(roseproxy_routing::flow::Answer::Failed);
         drop(guard);
         Ok(to_client(answer))
     }
@@ -275,12 +275,12 @@
 }
 
 /// Tells routing when the client of a flow leaves: hyper then drops the request's future.
-struct Guard {
-    gateway: Rc<Gateway>,
+struct Guard<N: Network> {
+    gateway: Rc<Gateway<N>>,
     id: FlowId,
 }
 
-impl Drop for Guard {
+impl<N: Network> Drop for Guard<N> {
     fn drop(&mut self) {
         self.gateway.client_gone(self.id);
     }
--- a/src/transport/meter.rs
+++ b/crates/transport/src/meter.rs
@@ -80,7 +80,7 @@
 
 /// A stream that can be asked while another holds it.
 #[derive(Debug)]
-pub(super) struct Shared(pub Rc<TcpStream>);
+pub struct Shared(pub(super) Rc<TcpStream>);
 
 impl AsyncRead for Shared {
     fn poll_read(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
--- a/src/transport/pool.rs
+++ b/crates/transport/src/pool.rs
@@ -2,8 +2,8 @@
 
 use super::budget::Permit;
 use super::connection::{Connection, State};
-use crate::interface::ServerId;
-use std::collections::HashMap;
+use roseproxy_decision::interface::ServerId;
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
 /// Share of the platform's idle time after which this side closes first: a request must never meet
@@ -24,14 +24,15 @@
 /// The idle connections.
 #[derive(Debug)]
 pub struct Pool {
-    idle: HashMap<ServerId, Vec<(f64, Line)>>,
+    /// In a fixed order, so that equal runs close them in the same one.
+    idle: BTreeMap<ServerId, Vec<(f64, Line)>>,
     longest: f64,
 }
 
 impl Pool {
     /// A pool for targets that close idle connections after so many milliseconds.
     pub fn new(conn_idle: f64) -> Pool {
-        Pool { idle: HashMap::new(), longest: conn_idle * IDLE_SHARE }
+        Pool { idle: BTreeMap::new(), longest: conn_idle * IDLE_SHARE }
     }
 
     /// The connection to a target that was used last, so that those not needed grow old.
--- a/tests/connection.rs
+++ b/crates/transport/tests/connection.rs
@@ -4,8 +4,8 @@
 use hyper::header::{HeaderValue, CONTENT_LENGTH, HOST};
 use hyper::Method;
 use quickcheck::{Arbitrary, Gen, QuickCheck, TestResult};
-use roseproxy::protocol::request::Passing;
-use roseproxy::transport::connection::{Connection, Exchange, State};
+use roseproxy_platform::request::Passing;
+use roseproxy_transport::connection::{Connection, Exchange, State};
 use tokio::io::{AsyncReadExt, AsyncWriteExt, DuplexStream};
 use tokio::task::{spawn_local, yield_now, JoinHandle};
 
