--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
 # What the deploy file and the CI script run, by name.
-.PHONY: build test lint run
+.PHONY: build test lint run demo lab
 
 build:
 	cargo build --release --locked
@@ -14,3 +14,15 @@
 # Wants LB_CONFIG to name a configuration; see README.md.
 run: build
 	exec target/release/roseproxy
+
+# One calm day with a burst in it, on real sockets of 127.0.0.0/8; needs no configuration.
+demo: build
+	cargo build --release --locked -p roseproxy-lab
+	target/release/roseproxy-lab run lab/days/demo.toml --real --live --out out/demo
+
+# All shipped days by all strategies; keeps table and chart in docs/results/.
+lab:
+	cargo build --release --locked -p roseproxy-lab
+	target/release/roseproxy-lab sweep lab/experiments/yardsticks.toml --out out/yardsticks
+	cp out/yardsticks/table.md docs/results/yardsticks.md
+	cp out/yardsticks/chart.svg docs/results/yardsticks.svg
--- /dev/null
+++ b/crates/emulator/src/ledger.rs
@@ -0,0 +1,362 @@
+//! The emulator's own books, and the oracles that read them: what was asked, tried, run and answered.
+//!
+//! Nothing here comes from a sidecar's counters. A rule that is broken becomes a [`Violation`] at the
+//! moment it shows; the rules are the platform's, with its figures and its slack.
+
+use crate::plan::Plan;
+use bytes::Bytes;
+use serde::Serialize;
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::fmt;
+
+/// Violations that are kept in full; more are only counted.
+const KEPT: usize = 200;
+
+/// A rule of the platform.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, serde::Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Rule {
+    /// Every flow taken gets one whole answer.
+    Unanswered,
+    /// The answer comes before the client gives up.
+    Late,
+    /// The sidecar ended the connection of a flow that it had taken.
+    Lost,
+    /// What is served was made by a server for this request.
+    WrongBody,
+    /// What can't be a request is not served.
+    ServedBad,
+    /// A bad client gets an error or a close within its time.
+    BadUnanswered,
+    /// An unsafe request never runs twice.
+    SecondRun,
+    /// Nothing new goes to a server past the grace of its drain.
+    PastDrain,
+    /// No cold server is pushed over.
+    PushedOver,
+    /// Sidecars send only to servers that their list named.
+    Unlisted,
+    /// A request is attempted at most so often.
+    Attempts,
+    /// A server is sent nothing that no client asked for.
+    Unknown,
+    /// Descriptors stay within the limit.
+    Descriptors,
+    /// Memory stays within the limit.
+    Memory,
+    /// The sidecar's books agree with the emulator's.
+    Books,
+    /// A sidecar never ends by itself.
+    Crash,
+    /// A sidecar becomes ready.
+    NotReady,
+}
+
+impl fmt::Display for Rule {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{self:?}")
+    }
+}
+
+/// A broken rule.
+#[derive(Clone, Debug, Serialize)]
+pub struct Violation {
+    /// When (ms).
+    pub at: f64,
+    /// Which.
+    pub rule: Rule,
+    /// By which sidecar.
+    pub sidecar: Option<usize>,
+    /// On which flow.
+    pub flow: Option<usize>,
+    /// In words.
+    pub what: String,
+}
+
+/// How an attempt ended at its server.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum AttemptEnd {
+    /// Not yet.
+    Open,
+    /// Answered whole.
+    Served,
+    /// Answered with an error.
+    Error,
+    /// Turned away: the waiting room is full.
+    Full,
+    /// Turned away: it drains.
+    Draining,
+    /// Turned away: too many connections.
+    Crowded,
+    /// Answered with what can't be read.
+    Spoilt,
+    /// Its sidecar hung up.
+    HungUp,
+    /// Its server went down or was cut off.
+    Cut,
+}
+
+/// One attempt, from its first byte at the server on.
+#[derive(Clone, Debug, Serialize)]
+pub struct Attempt {
+    /// The server's number.
+    pub server: usize,
+    /// When its first byte came (ms).
+    pub came: f64,
+    /// Whether the server took it into work or its waiting room.
+    pub ran: bool,
+    /// Whether an earlier one was still out.
+    pub second_copy: bool,
+    /// When it ended (ms).
+    pub ended: Option<f64>,
+    /// How.
+    pub end: AttemptEnd,
+}
+
+/// How a try ended at its client.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum TryEnd {
+    /// Not yet.
+    Open,
+    /// Served whole.
+    Served,
+    /// Refused, with this advice (ms; 0 for none).
+    Refused(f64),
+    /// Failed, with this status.
+    Failed(u16),
+    /// No connection came up.
+    NoConnection,
+    /// Nothing came in time, or the connection ended.
+    Nothing,
+    /// The sidecar was killed meanwhile.
+    Excused,
+}
+
+/// What the emulator knows of a refusal at its moment.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Regret {
+    /// A server in service had a core free and would have been in time.
+    CoreIdle,
+    /// A server in service would have been in time beside its other work.
+    WouldFit,
+    /// None would have been in time.
+    Full,
+    /// None was in service.
+    Nobody,
+}
+
+/// One try of a flow: a request of its own to the sidecar.
+#[derive(Clone, Debug, Serialize)]
+pub struct Try {
+    /// Its `Request-Id`.
+    pub id: u64,
+    /// The flow: the number of its arrival.
+    pub flow: usize,
+    /// Its number in the flow.
+    pub number: usize,
+    /// When it was written whole (ms); the connection's attempt where that failed.
+    pub sent: f64,
+    /// When its client gives it up (ms).
+    pub until: f64,
+    /// Its attempts.
+    pub attempts: Vec<Attempt>,
+    /// When it ended (ms).
+    pub ended: f64,
+    /// How.
+    pub end: TryEnd,
+    /// Whether a refusal is to be regretted.
+    pub regret: Option<Regret>,
+    /// Whether it was written whole to a sidecar that ran.
+    pub taken: bool,
+    #[serde(skip)]
+    bodies: Vec<Bytes>,
+}
+
+/// The books of a day.
+#[derive(Debug, Default)]
+pub struct Ledger {
+    /// Tries in the order they were sent.
+    pub tries: Vec<Try>,
+    by_id: HashMap<u64, usize>,
+    /// Violations, the first of them in full.
+    pub violations: Vec<Violation>,
+    /// How many there were of each.
+    pub counts: BTreeMap<Rule, u64>,
+    /// Places that a sidecar's list has named: one that is free may be another server's by now.
+    listed: BTreeSet<(usize, usize)>,
+    /// When a sidecar was told, at the latest, that a server drains or is gone.
+    told: BTreeMap<(usize, usize), f64>,
+    /// When the list told of it, to anybody who asks.
+    leaving: BTreeMap<usize, f64>,
+    /// Times that each flow of an unsafe class was taken into work, by `Request-Id`.
+    runs: HashMap<u64, u32>,
+    /// Probes by server.
+    pub probes: BTreeMap<usize, u64>,
+    /// Connections opened, by server.
+    pub connections: BTreeMap<usize, u64>,
+    /// Work sent to servers (ms of a standard core), and that of it which brought no answer.
+    pub work: (f64, f64),
+    /// Attempts in another zone than their sidecar's, of all.
+    pub crossed: u64,
+    /// Most descriptors held by each sidecar.
+    pub descriptors: BTreeMap<usize, usize>,
+    /// Calls answered and failed by discovery.
+    pub calls: (u64, u64),
+    /// Bad requests sent, and those answered by an error or a close in time.
+    pub bad: (u64, u64),
+    /// Spoilt answers by kind.
+    pub spoilt: BTreeMap<String, u64>,
+}
+
+impl Ledger {
+    /// Books a broken rule.
+    pub fn broke(&mut self, at: f64, rule: Rule, sidecar: Option<usize>, flow: Option<usize>, what: String) {
+        *self.counts.entry(rule).or_default() += 1;
+        if self.violations.len() < KEPT {
+            self.violations.push(Violation { at, rule, sidecar, flow, what });
+        }
+    }
+
+    /// A try begins.
+    pub fn begin(&mut self, id: u64, flow: usize, number: usize, sent: f64, until: f64) -> usize {
+        let at = self.tries.len();
+        self.tries.push(Try {
+            id,
+            flow,
+            number,
+            sent,
+            until,
+            attempts: Vec::new(),
+            ended: f64::NAN,
+            end: TryEnd::Open,
+            regret: None,
+            taken: false,
+            bodies: Vec::new(),
+        });
+        self.by_id.insert(id, at);
+        at
+    }
+
+    /// The try of an id.
+    pub fn find(&self, id: u64) -> Option<usize> {
+        self.by_id.get(&id).copied()
+    }
+
+    /// A sidecar's list names a server as in service, or as leaving.
+    pub fn list_said(&mut self, now: f64, sidecar: usize, server: usize, place: usize, in_service: bool) {
+        self.listed.insert((sidecar, place));
+        if in_service {
+            self.told.remove(&(sidecar, server));
+        } else {
+            self.told.entry((sidecar, server)).or_insert(now);
+        }
+    }
+
+    /// Discovery has it for whoever asks.
+    pub fn list_has(&mut self, now: f64, server: usize, in_service: bool) {
+        if in_service {
+            self.leaving.remove(&server);
+        } else {
+            self.leaving.entry(server).or_insert(now);
+        }
+    }
+
+    /// An attempt has come whole to a server. Its number in the try, or `None` where nobody asked for it.
+    pub fn attempt(
+        &mut self,
+        plan: &Plan,
+        id: u64,
+        sidecar: usize,
+        (server, place): (usize, usize),
+        came: f64,
+        now: f64,
+    ) -> Option<(usize, usize)> {
+        let limits = &plan.day.limits;
+        let Some(at) = self.find(id) else {
+            self.broke(now, Rule::Unknown, Some(sidecar), None, format!("id {id:016x} at server {server}"));
+            return None;
+        };
+        let (flow, number) = (self.tries[at].flow, self.tries[at].attempts.len());
+        if !self.listed.contains(&(sidecar, place)) {
+            self.broke(now, Rule::Unlisted, Some(sidecar), Some(flow), format!("server {server}"));
+        }
+        let told = self.told.get(&(sidecar, server)).copied();
+        let had = self.leaving.get(&server).map(|at| at + limits.told_within_ms);
+        let told = told.into_iter().chain(had).fold(f64::INFINITY, f64::min);
+        if came > told + limits.drain_grace_ms + limits.slack_ms {
+            let after = came - told;
+            self.broke(
+                now,
+                Rule::PastDrain,
+                Some(sidecar),
+                Some(flow),
+                format!("server {server}, {after:.0} ms after"),
+            );
+        }
+        if number >= limits.max_attempts {
+            self.broke(now, Rule::Attempts, Some(sidecar), Some(flow), format!("attempt {}", number + 1));
+        }
+        let one = &mut self.tries[at];
+        let second_copy = one.attempts.iter().any(|a| a.end == AttemptEnd::Open);
+        one.attempts.push(Attempt {
+            server,
+            came,
+            ran: false,
+            second_copy,
+            ended: None,
+            end: AttemptEnd::Open,
+        });
+        Some((at, number))
+    }
+
+    /// A server has taken an attempt in: from here on it may run.
+    pub fn ran(&mut self, plan: &Plan, now: f64, (at, number): (usize, usize)) {
+        let one = &mut self.tries[at];
+        one.attempts[number].ran = true;
+        let arrival = &plan.arrivals[one.flow];
+        let (flow, id) = (one.flow, one.id);
+        let runs = self.runs.entry(id).or_default();
+        *runs += 1;
+        if *runs > 1 && plan.is_unsafe(arrival.class) {
+            let what = format!("run {runs} of an unsafe request");
+            self.broke(now, Rule::SecondRun, Some(arrival.sidecar), Some(flow), what);
+        }
+    }
+
+    /// An attempt ends at its server.
+    pub fn attempt_ended(&mut self, now: f64, (at, number): (usize, usize), end: AttemptEnd) {
+        let one = &mut self.tries[at].attempts[number];
+        if one.end == AttemptEnd::Open {
+            (one.end, one.ended) = (end, Some(now));
+        }
+    }
+
+    /// A server has made a body for a try.
+    pub fn made(&mut self, at: usize, body: Bytes) {
+        self.tries[at].bodies.push(body);
+    }
+
+    /// Whether a body was made for a try.
+    pub fn is_made(&self, at: usize, body: &[u8]) -> bool {
+        self.tries[at].bodies.iter().any(|b| b == body)
+    }
+
+    /// A try ends at its client.
+    pub fn end(&mut self, now: f64, at: usize, end: TryEnd, regret: Option<Regret>) {
+        let one = &mut self.tries[at];
+        (one.ended, one.end, one.regret) = (now, end, regret);
+    }
+
+    /// A sidecar holds so many descriptors.
+    pub fn holds(&mut self, now: f64, sidecar: usize, descriptors: usize, limit: usize) {
+        let most = self.descriptors.entry(sidecar).or_default();
+        let before = *most;
+        *most = before.max(descriptors);
+        if descriptors > limit && before <= limit {
+            self.broke(now, Rule::Descriptors, Some(sidecar), None, format!("{descriptors} of {limit}"));
+        }
+    }
+}
--- /dev/null
+++ b/crates/emulator/src/server.rs
@@ -0,0 +1,578 @@
+//! The model of one config server, without I/O: what it holds, how fast it works, and what it says.
+//!
+//! Requests in work share the cores evenly (processor sharing); the rest waits in order. What changes the
+//! pace (warmth, thrash, a full connection table, the slow state after crowding, a pause) changes it for
+//! all of them, so that attained service is one number for the server and a request ends when that number
+//! has grown by its work.
+
+use crate::day::Cancel;
+use crate::plan::{hashed, ServerPlan};
+use std::collections::{BTreeMap, VecDeque};
+
+/// How often a pace that changes by itself is looked at anew (ms).
+const LOOK: f64 = 20.0;
+/// Kept free of the budget of a cold server, in requests of mean work: chance alone breaks no rule.
+const CHANCE: f64 = 4.0;
+
+/// What a server is given to do.
+#[derive(Clone, Copy, Debug)]
+pub struct Job {
+    /// Number of its own.
+    pub id: u64,
+    /// Work (ms of a standard core), without what its key saves.
+    pub work: f64,
+    /// Its key.
+    pub key: Option<u64>,
+    /// Whether it fails in the end.
+    pub error: bool,
+}
+
+/// Why a server takes a job not.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum TurnedAway {
+    /// Its waiting room is full.
+    Full,
+    /// It drains.
+    Draining,
+    /// It is not there.
+    Down,
+}
+
+/// What ended at a server.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Done {
+    /// The job's number.
+    pub id: u64,
+    /// When.
+    pub at: f64,
+    /// Whether it failed.
+    pub error: bool,
+}
+
+/// Whether a server takes work.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Phase {
+    /// It does.
+    Up,
+    /// It finishes what it has.
+    Draining,
+    /// It is not there.
+    Down,
+}
+
+/// Whether crowding has turned it slow.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Crowding {
+    /// No more wait than it bears.
+    Calm,
+    /// Too many have waited since then.
+    Crowded(f64),
+    /// It is slow since then, and has been mostly idle since the second time, if at all.
+    Slow(f64, Option<f64>),
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Work {
+    id: u64,
+    /// Attained service at which it ends; while it waits, its work.
+    end: f64,
+    error: bool,
+}
+
+/// What a probe or an answer says of a server.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Report {
+    /// Requests held.
+    pub inflight: f64,
+    /// Requests waiting.
+    pub queue: f64,
+    /// Busy share of the cores.
+    pub util: f64,
+}
+
+/// A server at this moment.
+#[derive(Debug)]
+pub struct Server {
+    /// What it is.
+    pub plan: ServerPlan,
+    /// Whether it takes work.
+    pub phase: Phase,
+    seed: u64,
+    now: f64,
+    /// When its process started, and the requests served since; `None`: long ago.
+    started: Option<f64>,
+    served: f64,
+    /// Attained service of each request in work.
+    attained: f64,
+    running: Vec<Work>,
+    waiting: VecDeque<Work>,
+    /// Work that belongs to no request (handshakes, probes), still to be done.
+    chores: f64,
+    crowding: Crowding,
+    paused_until: f64,
+    next_pause: f64,
+    /// Times slower by a trouble.
+    pub slowed: f64,
+    /// Open connections.
+    pub conns: usize,
+    /// Probes that it holds.
+    pub probing: usize,
+    /// Keys met, with the time.
+    keys: BTreeMap<u64, f64>,
+    /// Work that it was sent while cold.
+    sent: VecDeque<(f64, f64)>,
+    /// Whether it was pushed over while cold.
+    pub fallen: bool,
+    /// The figures as they were at the last two refreshes.
+    figures: [(f64, Report); 2],
+    /// Core time spent, and that of it on work which nobody waited for (ms of a standard core).
+    pub spent: f64,
+    /// How often it has turned slow.
+    pub chokes: u64,
+    mean_work: f64,
+}
+
+impl Server {
+    /// A server that has run for long.
+    pub fn new(plan: ServerPlan, seed: u64, mean_work: f64) -> Server {
+        let first = plan.pause.0 * hashed(seed, &[1]);
+        Server {
+            plan,
+            phase: Phase::Up,
+            seed,
+            now: 0.0,
+            started: None,
+            served: 0.0,
+            attained: 0.0,
+            running: Vec::new(),
+            waiting: VecDeque::new(),
+            chores: 0.0,
+            crowding: Crowding::Calm,
+            paused_until: 0.0,
+            next_pause: first.max(1.0),
+            slowed: 1.0,
+            conns: 0,
+            probing: 0,
+            keys: BTreeMap::new(),
+            sent: VecDeque::new(),
+            fallen: false,
+            figures: [(0.0, Report::default()); 2],
+            spent: 0.0,
+            chokes: 0,
+            mean_work,
+        }
+    }
+
+    /// Its process starts anew, cold and empty.
+    pub fn start(&mut self, now: f64) {
+        let plan = self.plan.clone();
+        let (seed, slowed, spent, chokes) = (self.seed, self.slowed, self.spent, self.chokes);
+        *self = Server {
+            now,
+            started: Some(now),
+            slowed,
+            spent,
+            chokes,
+            ..Server::new(plan, seed, self.mean_work)
+        };
+        self.next_pause = now + self.plan.pause.0.max(1.0);
+        self.figures = [(now, Report::default()); 2];
+    }
+
+    /// When its process last started; `None` for long ago.
+    pub fn started(&self) -> Option<f64> {
+        self.started
+    }
+
+    /// Requests held.
+    pub fn held(&self) -> usize {
+        self.running.len() + self.waiting.len()
+    }
+
+    /// Requests waiting.
+    pub fn waiting(&self) -> usize {
+        self.waiting.len()
+    }
+
+    /// Whether crowding has turned it slow.
+    pub fn slow(&self) -> bool {
+        matches!(self.crowding, Crowding::Slow(..))
+    }
+
+    /// Whether it stands still.
+    pub fn paused(&self) -> bool {
+        self.now < self.paused_until
+    }
+
+    /// Share of its capacity that it has by its warmth: even over the stated time, sooner by requests.
+    pub fn warmth(&self) -> f64 {
+        let (from, time, requests) = self.plan.cold;
+        let Some(started) = self.started else { return 1.0 };
+        let by_time = (self.now - started) / time.max(1.0);
+        let by_work = if requests > 0.0 { self.served / requests } else { 0.0 };
+        from + (1.0 - from) * by_time.max(by_work).clamp(0.0, 1.0)
+    }
+
+    /// Work that it does in a millisecond when all cores are busy.
+    pub fn capacity(&self) -> f64 {
+        if self.phase == Phase::Down || self.fallen {
+            return 0.0;
+        }
+        let p = &self.plan;
+        let over = (self.held() as f64 / p.cores / p.thrash.1 - 1.0).max(0.0);
+        let table = (self.conns as f64 / p.conns.0.max(1) as f64).min(1.0) * p.conns.1;
+        let slow = match (self.crowding, p.choke) {
+            (Crowding::Slow(..), Some(choke)) => choke.slower,
+            _ => 1.0,
+        };
+        p.cores * p.speed * self.warmth() / (1.0 + p.thrash.0 * over) * (1.0 - table) / slow / self.slowed
+    }
+
+    /// How long work would take if it came now and nothing came after it (ms).
+    pub fn forecast(&self, work: f64) -> f64 {
+        let (capacity, cores) = (self.capacity(), self.plan.cores);
+        if capacity <= 0.0 || self.phase != Phase::Up {
+            return f64::INFINITY;
+        }
+        let pause = (self.paused_until - self.now).max(0.0);
+        let sharing = (self.held() as f64 + 1.0).max(cores);
+        pause + work * sharing / capacity
+    }
+
+    /// Service that each request in work gets in a millisecond.
+    fn pace(&self) -> f64 {
+        let busy = self.running.len() as f64;
+        if busy == 0.0 || self.now < self.paused_until {
+            return 0.0;
+        }
+        // Chores take their turn beside the requests, one core at most.
+        let cores =
+            self.plan.cores - if self.chores > 0.0 { 1.0_f64.min(self.plan.cores / 2.0) } else { 0.0 };
+        self.capacity() / self.plan.cores * (cores / busy).min(1.0)
+    }
+
+    /// When it is to be looked at again, if nothing comes.
+    pub fn next(&self) -> f64 {
+        if self.phase == Phase::Down {
+            return f64::INFINITY;
+        }
+        if self.now < self.paused_until {
+            return self.paused_until;
+        }
+        let mut next = self.next_pause;
+        let pace = self.pace();
+        if let (Some(first), true) = (self.first_end(), pace > 0.0) {
+            next = next.min(self.now + ((first - self.attained) / pace).max(0.0));
+        }
+        let changing = self.started.is_some() && self.warmth() < 1.0;
+        if (changing && !self.running.is_empty()) || self.crowding != Crowding::Calm || self.chores > 0.0 {
+            next = next.min(self.now + LOOK);
+        }
+        next
+    }
+
+    fn first_end(&self) -> Option<f64> {
+        self.running.iter().map(|w| w.end).min_by(f64::total_cmp)
+    }
+
+    /// Lets it work until now; what ended is appended.
+    pub fn advance(&mut self, now: f64, done: &mut Vec<Done>) {
+        while self.now < now {
+            let step = self.next().min(now).max(self.now);
+            self.work_until(step, done);
+            if self.now >= self.next_pause && self.phase != Phase::Down {
+                // Short pauses, as of a garbage collector; drawn by their number in time.
+                let draw = hashed(self.seed, &[2, self.now as u64]);
+                self.paused_until = self.paused_until.max(self.now + self.plan.pause.1 * (0.5 + draw));
+                self.next_pause = self.paused_until + self.plan.pause.0.max(1.0) * (0.5 + draw);
+            }
+            if step >= now {
+                break;
+            }
+        }
+        self.now = self.now.max(now);
+        self.crowd();
+    }
+
+    fn work_until(&mut self, until: f64, done: &mut Vec<Done>) {
+        let passed = until - self.now;
+        let pace = self.pace();
+        if self.now >= self.paused_until {
+            self.chores = (self.chores - passed * self.capacity() / self.plan.cores).max(0.0);
+        }
+        self.refresh(until);
+        self.attained += pace * passed;
+        self.spent += pace * passed * self.running.len() as f64;
+        self.now = until;
+        // A hair of slack, as sums of small steps do not meet an end exactly.
+        let attained = self.attained + 1e-6;
+        let mut ended: Vec<Work> = self.running.iter().filter(|w| w.end <= attained).copied().collect();
+        if !ended.is_empty() {
+            self.running.retain(|w| w.end > attained);
+            ended.sort_by(|a, b| a.end.total_cmp(&b.end).then(a.id.cmp(&b.id)));
+            self.served += ended.len() as f64;
+            done.extend(ended.into_iter().map(|w| Done { id: w.id, at: until, error: w.error }));
+            self.fill();
+        }
+        self.crowd();
+    }
+
+    fn fill(&mut self) {
+        while self.running.len() < self.plan.slots {
+            let Some(next) = self.waiting.pop_front() else { break };
+            self.running.push(Work { end: self.attained + next.end, ..next });
+        }
+    }
+
+    /// Turns slow when too many have waited for too long, and back when it was mostly idle.
+    fn crowd(&mut self) {
+        let Some(choke) = self.plan.choke else { return };
+        let queued = (self.held() as f64 - self.plan.cores).max(0.0);
+        let busy = self.busy();
+        let now = self.now;
+        self.crowding = match self.crowding {
+            Crowding::Calm if queued > choke.at => Crowding::Crowded(now),
+            Crowding::Crowded(_) if queued <= choke.at => Crowding::Calm,
+            Crowding::Crowded(since) if now - since >= choke.over => {
+                self.chokes += 1;
+                Crowding::Slow(now, None)
+            }
+            Crowding::Slow(since, idle) => {
+                let idle = (busy < choke.below).then(|| idle.unwrap_or(now));
+                if now - since >= choke.most || idle.is_some_and(|at| now - at >= choke.rest) {
+                    Crowding::Calm
+                } else {
+                    Crowding::Slow(since, idle)
+                }
+            }
+            same => same,
+        };
+    }
+
+    fn busy(&self) -> f64 {
+        (self.running.len() as f64 / self.plan.cores).min(1.0)
+    }
+
+    /// Takes a job, or says why not. What it was sent counts against the budget of a cold server either way.
+    pub fn offer(&mut self, job: Job) -> Result<(), TurnedAway> {
+        match self.phase {
+            Phase::Down => return Err(TurnedAway::Down),
+            Phase::Draining => return Err(TurnedAway::Draining),
+            Phase::Up => {}
+        }
+        if self.held() >= self.plan.slots + self.plan.queue {
+            return Err(TurnedAway::Full);
+        }
+        let work = Work { id: job.id, end: self.work_of(job), error: job.error };
+        self.waiting.push_back(work);
+        self.fill();
+        self.crowd();
+        Ok(())
+    }
+
+    /// Work of a job here: less where its key was met lately, which this meeting renews.
+    fn work_of(&mut self, job: Job) -> f64 {
+        let (gain, lasts, most) = self.plan.keys;
+        let Some(key) = job.key else { return job.work };
+        let met = self.keys.insert(key, self.now).is_some_and(|at| self.now - at <= lasts);
+        if self.keys.len() > most.max(1) {
+            let oldest = self.keys.iter().min_by(|a, b| a.1.total_cmp(b.1)).map(|(k, _)| *k);
+            oldest.map(|k| self.keys.remove(&k));
+        }
+        job.work * if met { 1.0 - gain } else { 1.0 }
+    }
+
+    /// Counts work sent to it while cold; true where it goes over with that: sent more than `multiple`
+    /// of what it can do at this moment, within `window` (ms).
+    pub fn push(&mut self, work: f64, multiple: f64, window: f64) -> bool {
+        if self.phase != Phase::Up || self.fallen || self.warmth() >= 1.0 {
+            self.sent.clear();
+            return false;
+        }
+        self.sent.push_back((self.now, work));
+        while self.sent.front().is_some_and(|(at, _)| self.now - at > window) {
+            self.sent.pop_front();
+        }
+        let sum: f64 = self.sent.iter().map(|(_, w)| w).sum();
+        let able = self.plan.cores * self.plan.speed * self.warmth();
+        self.fallen = sum > multiple * able * window + CHANCE * self.mean_work;
+        self.fallen
+    }
+
+    /// Its sidecar hung up: drops what still waits, where the kind does that.
+    pub fn hang_up(&mut self, id: u64) -> bool {
+        if self.plan.cancel == Cancel::None {
+            return false;
+        }
+        let before = self.waiting.len();
+        self.waiting.retain(|w| w.id != id);
+        self.waiting.len() < before
+    }
+
+    /// Work that belongs to no request.
+    pub fn chore(&mut self, work: f64) {
+        self.chores += work;
+        self.spent += work;
+    }
+
+    /// Stands still until then.
+    pub fn pause(&mut self, until: f64) {
+        self.paused_until = self.paused_until.max(until);
+    }
+
+    /// Its process ends; what it held is lost.
+    pub fn stop(&mut self) -> Vec<u64> {
+        self.phase = Phase::Down;
+        let held = self.running.drain(..).chain(self.waiting.drain(..)).map(|w| w.id);
+        held.collect()
+    }
+
+    fn refresh(&mut self, now: f64) {
+        let (period, ..) = self.plan.report;
+        if now - self.figures[1].0 >= period {
+            let (held, queue) = (self.held() as f64, self.waiting.len() as f64);
+            let fresh = Report { inflight: held, queue, util: self.busy() };
+            self.figures = [self.figures[1], (now, fresh)];
+        }
+    }
+
+    /// What it says of itself: late, and off by a noise from this draw (0 to 1).
+    pub fn report(&mut self, draw: f64) -> Report {
+        self.refresh(self.now);
+        let (_, delay, noise) = self.plan.report;
+        let [(_, before), (at, last)] = self.figures;
+        let seen = if self.now - at >= delay { last } else { before };
+        let off = crate::plan::factor(noise, draw);
+        Report {
+            inflight: (seen.inflight * off).round(),
+            queue: (seen.queue * off).round(),
+            util: (seen.util * off).clamp(0.0, 1.0),
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::day::Day;
+    use crate::plan::Plan;
+
+    fn server() -> Server {
+        let day = Day::read("test", "name = 'test'").expect("a day");
+        let mut plan = Plan::draw(&day, 3).servers[0].clone();
+        (plan.cores, plan.speed, plan.slots, plan.queue) = (2.0, 1.0, 4, 6);
+        (plan.thrash, plan.pause, plan.conns) = ((0.0, 10.0), (1e9, 0.0), (100, 0.0));
+        plan.keys = (0.5, 1000.0, 8);
+        plan.choke = None;
+        Server::new(plan, 1, 100.0)
+    }
+
+    fn job(id: u64, work: f64) -> Job {
+        Job { id, work, key: None, error: false }
+    }
+
+    fn ends(server: &mut Server, until: f64) -> Vec<(u64, f64)> {
+        let mut done = Vec::new();
+        server.advance(until, &mut done);
+        done.into_iter().map(|d| (d.id, d.at.round())).collect()
+    }
+
+    #[test]
+    fn requests_share_the_cores_and_wait_their_turn() {
+        let mut s = server();
+        for id in 0..5 {
+            s.offer(job(id, 100.0)).expect("room");
+        }
+        assert_eq!((s.held(), s.waiting()), (5, 1));
+        // Four share two cores: each gets half of one. The fifth has one to itself then.
+        assert_eq!(ends(&mut s, 1000.0), [(0, 200.0), (1, 200.0), (2, 200.0), (3, 200.0), (4, 300.0)]);
+    }
+
+    #[test]
+    fn a_full_waiting_room_and_a_drain_turn_away() {
+        let mut s = server();
+        (0..10).for_each(|id| s.offer(job(id, 100.0)).expect("room"));
+        assert_eq!(s.offer(job(10, 1.0)), Err(TurnedAway::Full));
+        s.phase = Phase::Draining;
+        assert_eq!(s.offer(job(11, 1.0)), Err(TurnedAway::Draining));
+        assert_eq!(ends(&mut s, 2000.0).len(), 10, "what it has, it finishes");
+    }
+
+    #[test]
+    fn a_key_met_lately_saves_work_until_it_is_forgotten() {
+        let mut s = server();
+        let keyed = |id| Job { key: Some(7), ..job(id, 100.0) };
+        s.offer(keyed(1)).expect("room");
+        assert_eq!(ends(&mut s, 150.0), [(1, 100.0)]);
+        s.offer(keyed(2)).expect("room");
+        assert_eq!(ends(&mut s, 1300.0), [(2, 200.0)]);
+        s.offer(keyed(3)).expect("room");
+        assert_eq!(ends(&mut s, 1500.0), [(3, 1400.0)]);
+    }
+
+    #[test]
+    fn a_started_server_is_cold_and_warms_by_time_or_work() {
+        let mut s = server();
+        s.plan.cold = (0.25, 1000.0, 2.0);
+        s.start(0.0);
+        assert_eq!(s.warmth(), 0.25);
+        ends(&mut s, 500.0);
+        assert!((s.warmth() - 0.625).abs() < 1e-9);
+        s.offer(job(1, 1.0)).expect("room");
+        s.offer(job(2, 1.0)).expect("room");
+        ends(&mut s, 600.0);
+        assert_eq!(s.warmth(), 1.0, "two requests warm it");
+    }
+
+    #[test]
+    fn a_cold_server_is_pushed_over_by_more_than_it_can_do() {
+        let mut s = server();
+        s.plan.cold = (0.25, 10_000.0, 0.0);
+        s.start(0.0);
+        // It can do 0.5 a ms: 4 times that over 1500 ms is 3000, and 400 are chance.
+        let pushed = (0..40).take_while(|_| !s.push(100.0, 4.0, 1500.0)).count();
+        assert_eq!(pushed, 34);
+        assert!(s.fallen && s.capacity() == 0.0);
+    }
+
+    #[test]
+    fn crowding_turns_it_slow_and_idleness_brings_it_back() {
+        let mut s = server();
+        s.plan.choke = Some(crate::plan::Choke {
+            at: 3.0,
+            over: 500.0,
+            slower: 2.0,
+            below: 0.4,
+            rest: 300.0,
+            most: 9e9,
+        });
+        (0..10).for_each(|id| s.offer(job(id, 300.0)).expect("room"));
+        ends(&mut s, 400.0);
+        assert!(!s.slow());
+        ends(&mut s, 600.0);
+        assert!(s.slow() && s.chokes == 1);
+        let all = ends(&mut s, 5_000.0);
+        let last = all.iter().map(|(_, at)| *at).fold(0.0, f64::max);
+        assert!(last > 2_000.0, "slower than the 1500 ms of a calm one: {last}");
+        assert!(!s.slow(), "idle again");
+    }
+
+    #[test]
+    fn a_pause_stops_all_work() {
+        let mut s = server();
+        s.offer(job(1, 100.0)).expect("room");
+        s.pause(250.0);
+        assert_eq!(ends(&mut s, 400.0), [(1, 350.0)]);
+    }
+
+    #[test]
+    fn reports_come_late() {
+        let mut s = server();
+        s.plan.report = (100.0, 50.0, 0.0);
+        (0..3).for_each(|id| s.offer(job(id, 1e6)).expect("room"));
+        ends(&mut s, 120.0);
+        assert_eq!(s.report(0.5).inflight, 0.0, "seen at 100 or later, told 50 later");
+        ends(&mut s, 400.0);
+        assert_eq!(s.report(0.5).inflight, 3.0);
+    }
+}
--- /dev/null
+++ b/crates/lab/src/trace.rs
@@ -0,0 +1,150 @@
+//! One flow's whole story: every try, send, outcome and answer, with what the decision module was told
+//! and what it answered.
+
+use crate::strategies::Strategy;
+use crate::virtual_time;
+use roseproxy_decision::interface::{Action, Event, Micros};
+use roseproxy_decision::picture::Picture;
+use roseproxy_emulator::day::Day;
+use roseproxy_emulator::plan::Plan;
+use roseproxy_routing::decide::Decider;
+use std::cell::RefCell;
+use std::fmt::Write;
+use std::rc::Rc;
+
+/// One thing that a module was told or answered: when (microseconds), at which sidecar, about which
+/// request of that sidecar's, in words.
+pub type Entry = (Micros, usize, u64, String);
+
+/// What the modules of a day were told and answered.
+pub type Log = Rc<RefCell<Vec<Entry>>>;
+
+/// A decider that writes down all that concerns requests.
+pub struct Recorded {
+    sidecar: usize,
+    inner: Box<dyn Decider>,
+    log: Log,
+}
+
+impl Recorded {
+    pub fn new(sidecar: usize, inner: Box<dyn Decider>, log: Log) -> Recorded {
+        Recorded { sidecar, inner, log }
+    }
+
+    fn note(&self, now: Micros, request: u64, text: String) {
+        self.log.borrow_mut().push((now, self.sidecar, request, text));
+    }
+}
+
+impl Decider for Recorded {
+    fn handle(&mut self, now: Micros, event: Event, out: &mut Vec<Action>) {
+        match &event {
+            Event::Request(r) => {
+                let text = format!("told: request of class {} with {} ms left", r.class, r.time_left / 1000);
+                self.note(now, r.id, text);
+            }
+            Event::Ended { request, attempt, server, outcome, elapsed, .. } => {
+                let text = format!(
+                    "told: attempt {attempt} at {:016x} {outcome:?} after {} ms",
+                    server.0,
+                    elapsed / 1000
+                );
+                self.note(now, *request, text);
+            }
+            Event::Expired { request } => self.note(now, *request, "told: its client has left".into()),
+            _ => {}
+        }
+        let before = out.len();
+        self.inner.handle(now, event, out);
+        let p = self.inner.picture();
+        for action in &out[before..] {
+            let (request, text) = match action {
+                Action::Send { request, server, timeout } => {
+                    (*request, format!("drawn: send to {:016x}, time-out {timeout:?} us", server.0))
+                }
+                Action::Cancel { request, attempt } => {
+                    (*request, format!("answered: call off attempt {attempt}"))
+                }
+                Action::Refuse { request, retry_after } => {
+                    (*request, format!("answered: refuse, come back in {} ms", retry_after / 1000))
+                }
+                Action::Fail { request } => (*request, "answered: fail".into()),
+                _ => continue,
+            };
+            let text = format!(
+                "{text} (picture: {} ready, {} aside, load {:.1}, late {:.2}, spread {:.2})",
+                p.ready, p.set_aside, p.load, p.lateness, p.spread
+            );
+            self.note(now, request, text);
+        }
+    }
+
+    fn picture(&self) -> Picture {
+        self.inner.picture()
+    }
+}
+
+/// Plays the day and tells the story of one flow.
+pub fn story(day: &Day, seed: u64, strategy: Strategy, flow: usize) -> Result<String, String> {
+    let plan = Plan::draw(day, seed);
+    let arrivals = plan.arrivals.len();
+    if flow >= arrivals {
+        return Err(format!("--flow {flow}: the day has flows 0 to {}", arrivals.saturating_sub(1)));
+    }
+    let log = Log::default();
+    virtual_time::play(plan, strategy, Some(log.clone()), |world| {
+        let (plan, ledger) = (&world.plan, world.ledger.borrow());
+        let arrival = &plan.arrivals[flow];
+        let mut text = String::new();
+        let begin = world.day_start();
+        let mut line = |at: f64, what: String| {
+            // Writing to a text cannot fail.
+            let _ = writeln!(text, "{:>12.3} ms  {what}", at - begin);
+        };
+        line(
+            world.day_at(arrival.at),
+            format!(
+                "flow {flow}: {} of {} at sidecar {} (zone {}), work {:.0} ms, key {:?}, worth {}{}",
+                plan.class(arrival).name,
+                plan.day.tenants[arrival.tenant].name,
+                arrival.sidecar,
+                plan.sidecars[arrival.sidecar].zone,
+                arrival.work,
+                arrival.key,
+                arrival.worth,
+                if arrival.over_share { ", over its share" } else { "" }
+            ),
+        );
+        let mut entries: Vec<(f64, String)> = Vec::new();
+        for one in ledger.tries.iter().filter(|t| t.flow == flow) {
+            entries.push((
+                one.sent,
+                format!("try {} sent, id {:016x}, until {:.0}", one.number, one.id, one.until - begin),
+            ));
+            for (number, a) in one.attempts.iter().enumerate() {
+                let copy = if a.second_copy { ", a second copy" } else { "" };
+                entries.push((a.came, format!("  attempt {number} came to server {}{copy}", a.server)));
+                if let Some(ended) = a.ended {
+                    entries.push((ended, format!("  attempt {number} at server {}: {:?}", a.server, a.end)));
+                }
+            }
+            let regret = one.regret.map_or(String::new(), |r| format!("; at that moment: {r:?}"));
+            entries.push((one.ended, format!("try {} ended: {:?}{regret}", one.number, one.end)));
+            // The sidecar's own number of this request: the first it was told of at that moment.
+            let log = log.borrow();
+            let (sent, sidecar) = (one.sent, arrival.sidecar);
+            let at_host = |e: &&Entry| {
+                let at = e.0 as f64 / 1e3 - virtual_time::epoch();
+                e.1 == sidecar && e.3.starts_with("told: request") && (at - sent).abs() < 1.5
+            };
+            if let Some((.., request, _)) = log.iter().find(at_host) {
+                for (at, .., what) in log.iter().filter(|e| e.1 == sidecar && e.2 == *request) {
+                    entries.push((*at as f64 / 1e3 - virtual_time::epoch(), format!("    {what}")));
+                }
+            }
+        }
+        entries.sort_by(|a, b| a.0.total_cmp(&b.0));
+        entries.into_iter().for_each(|(at, what)| line(at, what));
+        text
+    })
+}
--- a/crates/transport/src/budget.rs
+++ b/crates/transport/src/budget.rs
@@ -30,7 +30,9 @@
     pub fn share(sockets: usize) -> (Budget, Budget) {
         let free = sockets.saturating_sub(RESERVE).max(4);
         // The platform's clients hold up to a third of all for their requests; some hold more for none.
-        let clients = free * 3 / 7;
+        // Where the reserve is most of it, three sevenths of the rest would be less than that third, and
+        // requests would wait unaccepted on connections that the machine has accepted.
+        let clients = (free * 3 / 7).max(sockets / 3 + 1).min(free - 2);
         (Budget::new(clients), Budget::new(free - clients))
     }
 
@@ -57,3 +59,19 @@
         self.used.get()
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn clients_get_the_third_that_the_platform_lets_them_hold() {
+        for sockets in [64, 96, 128, 256, 1024, 4096] {
+            let (clients, targets) = Budget::share(sockets);
+            assert!(clients.limit() > sockets / 3, "{sockets}: {}", clients.limit());
+            assert!(targets.limit() >= 8, "{sockets}: {}", targets.limit());
+            assert!(clients.limit() + targets.limit() + RESERVE <= sockets);
+        }
+        assert_eq!(Budget::share(256).0.limit(), 96);
+    }
+}
