--- a/crates/decision/src/policy.rs
+++ b/crates/decision/src/policy.rs
@@ -296,8 +296,7 @@
             let mixed = Xoshiro128PlusPlus::seed_from_u64(key ^ b.info.id.0).next_u64() >> 11;
             ((mixed as f64 + 1.0) / (1_u64 << 53) as f64).ln() / b.info.power
         };
-        let slots = (0..self.backends.len()).filter(|s| self.backends[*s].usable());
-        slots.max_by(|a, b| height(&self.backends[*a]).total_cmp(&height(&self.backends[*b])))
+        self.usable().max_by(|a, b| height(&self.backends[*a]).total_cmp(&height(&self.backends[*b])))
     }
 
     /// Fills `self.shares` for the servers in `set`, with figures of this age. A key's home counts as
@@ -566,10 +565,10 @@
         // One full server, a popular key's home above all, is no full fleet: where nearly all others have
         // room, it is drawn among those. Warm ones only: cold ones have had their share.
         let fits = |s: &usize| self.warmth(*s) >= 1.0 && (first || set.contains(s)) && !too_late(*s);
-        let all: Vec<usize> =
-            (0..self.backends.len()).filter(|s| refuse && self.backends[*s].usable()).collect();
+        let asks = refuse && self.lateness < ROOM.1;
+        let all: Vec<usize> = if asks { self.usable().collect() } else { Vec::new() };
         let room: Vec<usize> = all.iter().copied().filter(fits).collect();
-        if self.lateness < ROOM.1 && self.capacity_of(&room) > ROOM.0 * self.capacity_of(&all) {
+        if self.capacity_of(&room) > ROOM.0 * self.capacity_of(&all) {
             self.fill(&room, self.stay, None);
             let draw = self.uniform();
             (pick, refuse) = (find(&self.shares, draw).map(|i| room[i]), false);
--- a/crates/decision/src/state.rs
+++ b/crates/decision/src/state.rs
@@ -209,6 +209,11 @@
         }
     }
 
+    /// Servers that may be sent work.
+    pub(crate) fn usable(&self) -> impl Iterator<Item = usize> + '_ {
+        (0..self.backends.len()).filter(|s| self.backends[*s].usable())
+    }
+
     /// Capacity of some servers together.
     pub(crate) fn capacity_of(&self, slots: &[usize]) -> f64 {
         slots.iter().map(|s| self.backends[*s].capacity).sum()
--- a/crates/emulator/src/client.rs
+++ b/crates/emulator/src/client.rs
@@ -94,16 +94,11 @@
         tenant = plan.day.tenants[arrival.tenant].name,
         wait = patience / 1e3,
     );
-    let starts = world.starts(sidecar);
-    let until = until + plan.day.clients.slack_ms;
-    let exchanged = {
-        let exchange = exchange(world, sidecar, at, text.as_bytes());
-        let limit = world.instant(until);
-        tokio::time::timeout_at(limit, exchange).await
-    };
+    let (kills, sent) = (world.kills(sidecar), world.now());
+    let limit = world.instant(until + plan.day.clients.slack_ms);
+    let exchanged = tokio::time::timeout_at(limit, exchange(world, sidecar, at, text.as_bytes())).await;
     let now = world.now();
-    // What a killed sidecar had in hand is nobody's fault.
-    let excused = world.starts(sidecar) != starts || !world.sidecar_up(sidecar);
+    let excused = world.excused(sidecar, kills);
     let taken = world.ledger.borrow().tries[at].taken;
     let (end, regret) = match exchanged {
         Ok(Ok(answer)) => judge(world, flow, at, &answer),
@@ -119,10 +114,7 @@
         }
         Err(_) if !taken => (TryEnd::NoConnection, None),
         Err(_) => {
-            let what = format!(
-                "no answer {:.0} ms after it was sent",
-                now - (until - patience - plan.day.clients.slack_ms)
-            );
+            let what = format!("no answer {:.0} ms after it was sent", now - sent);
             world.ledger.borrow_mut().broke(now, Rule::Unanswered, Some(sidecar), Some(flow), what);
             (TryEnd::Nothing, None)
         }
--- a/crates/emulator/src/fleet.rs
+++ b/crates/emulator/src/fleet.rs
@@ -314,7 +314,8 @@
         return wire.write(&answer_bytes(400, &[], b"nobody asked that\n")).await.is_ok();
     };
     let open = Open { world: world.clone(), attempt };
-    let arrival = &plan.arrivals[world.ledger.borrow().tries[attempt.0].flow];
+    let flow = world.ledger.borrow().tries[attempt.0].flow;
+    let arrival = &plan.arrivals[flow];
     let draws = |what: u64| hashed(plan.seed, &[what, id, attempt.1 as u64]);
     let noise =
         plan.day.classes[arrival.class].attempt_noise.at(hashed(plan.seed, &[3, arrival.class as u64]));
@@ -327,9 +328,8 @@
     }
     let limits = &plan.day.limits;
     if member.with(now, |m| m.push(work, limits.fall_multiple, limits.fall_ms)) {
-        let flow = Some(arrival_number(world, attempt.0));
         let what = format!("server {} at warmth {:.2}", member.number, member.model.borrow().warmth());
-        world.ledger.borrow_mut().broke(now, Rule::PushedOver, Some(sidecar), flow, what);
+        world.ledger.borrow_mut().broke(now, Rule::PushedOver, Some(sidecar), Some(flow), what);
         member.die(now);
         return false;
     }
@@ -384,8 +384,9 @@
         attempt.1,
         draws(6) * 1000.0
     ));
-    let spoil = world.spoilt_share(member.number, ended);
-    let spoil = (draws(7) < spoil).then(|| spoil::ALL[(draws(8) * spoil::ALL.len() as f64) as usize % 9]);
+    let spoil = world.spoilt_share(ended);
+    let spoil = (draws(7) < spoil)
+        .then(|| spoil::ALL[(draws(8) * spoil::ALL.len() as f64) as usize % spoil::ALL.len()]);
     {
         let mut ledger = world.ledger.borrow_mut();
         if let Some(spoil) = spoil {
@@ -401,7 +402,3 @@
     drop(open);
     wire.write(&bytes).await.is_ok()
 }
-
-fn arrival_number<F: Fabric>(world: &Rc<World<F>>, at: usize) -> usize {
-    world.ledger.borrow().tries[at].flow
-}
--- a/crates/emulator/src/plan.rs
+++ b/crates/emulator/src/plan.rs
@@ -23,10 +23,8 @@
     Clients,
     /// Discovery's figures.
     Discovery,
-    /// What happens on the wire while the day is played.
-    Wire,
-    /// Replacements of servers.
-    Replacements,
+    /// Replacements of servers. The numbers are part of every draw.
+    Replacements = 7,
 }
 
 /// A stream of random numbers.
@@ -267,12 +265,11 @@
 }
 
 /// Draws a server of the day's kinds.
-fn server(day: &Day, rng: &mut ChaCha8Rng, number: usize, zone: usize, kind: usize) -> ServerPlan {
-    let mut d = Draws(rng.clone());
+fn server(day: &Day, d: &mut Draws, number: usize, zone: usize, kind: usize) -> ServerPlan {
     let (k, s) = (&day.kinds[kind], &day.server);
     let speed = d.of(k.speed) * factor(d.of(k.speed_cv), d.0.random());
     let cores = k.cores;
-    let plan = ServerPlan {
+    ServerPlan {
         id: format!("s-{:08x}", d.0.random::<u32>()),
         zone,
         cell: (number / day.fleet.cell_size) as u64 * 16 + zone as u64,
@@ -302,26 +299,22 @@
             most: d.of(s.choke_most_s) * 1e3,
         })
         .filter(|c| c.at > 0.0),
-    };
-    *rng = d.0;
-    plan
+    }
 }
 
 impl Plan {
     /// Draws a day.
     pub fn draw(day: &Day, seed: u64) -> Plan {
-        let mut fleet = stream(seed, Purpose::Fleet);
         let zones = day.fleet.zones.len();
-        let mut d = Draws(fleet.clone());
+        let mut d = Draws(stream(seed, Purpose::Fleet));
         let skew = d.of(day.fleet.zone_skew);
         let places = spread(day.fleet.servers, &d.shares(zones, skew));
         let kinds: Vec<f64> = day.kinds.iter().map(|k| k.share).collect();
         let sum: f64 = kinds.iter().sum();
         let kinds = spread(day.fleet.servers, &kinds.iter().map(|k| k / sum).collect::<Vec<_>>());
         let mixed = d.order(kinds.len());
-        fleet = d.0;
         let servers: Vec<ServerPlan> =
-            (0..places.len()).map(|n| server(day, &mut fleet, n, places[n], kinds[mixed[n]])).collect();
+            (0..places.len()).map(|n| server(day, &mut d, n, places[n], kinds[mixed[n]])).collect();
         let sidecars = sidecars(day, seed);
         let troubles = troubles(day, seed, servers.len(), sidecars.len());
         let mut d = Draws(stream(seed, Purpose::Clients));
@@ -347,15 +340,11 @@
 
     /// A new server for a place that is free: drawn by its number, the same in every play.
     pub fn replacement(&self, number: usize, zone: usize) -> ServerPlan {
-        let mut rng = stream(self.seed, Purpose::Replacements);
-        rng.set_word_pos(number as u128 * 4096);
+        let mut d = Draws(stream(self.seed, Purpose::Replacements));
+        d.0.set_word_pos(number as u128 * 4096);
         let total: f64 = self.day.kinds.iter().map(|k| k.share).sum();
-        let mut at = rng.random::<f64>() * total;
-        let kind = self.day.kinds.iter().position(|k| {
-            at -= k.share;
-            at < 0.0
-        });
-        server(&self.day, &mut rng, self.servers.len() + number, zone, kind.unwrap_or(0))
+        let kind = pick(self.day.kinds.iter().map(|k| k.share / total), d.0.random());
+        server(&self.day, &mut d, self.servers.len() + number, zone, kind)
     }
 
     /// The class of a request.
@@ -365,7 +354,7 @@
 
     /// Capacity of the warm fleet: work of a standard core, in ms a ms.
     pub fn capacity(&self) -> f64 {
-        self.servers.iter().map(|s| s.cores * s.speed).sum()
+        capacity_of(&self.servers)
     }
 
     /// Whether a class must never run twice.
@@ -374,6 +363,10 @@
     }
 }
 
+fn capacity_of(servers: &[ServerPlan]) -> f64 {
+    servers.iter().map(|s| s.cores * s.speed).sum()
+}
+
 fn sidecars(day: &Day, seed: u64) -> Vec<SidecarPlan> {
     let mut d = Draws(stream(seed, Purpose::Sidecars));
     let skew = d.of(day.load.zone_skew);
@@ -437,8 +430,7 @@
         means.sum()
     };
     let works: Vec<_> = day.classes.iter().map(|c| works(c, &mut d)).collect();
-    let capacity: f64 = servers.iter().map(|s| s.cores * s.speed).sum();
-    let most = capacity / mean_work * 1e3; // requests a second
+    let most = capacity_of(servers) / mean_work * 1e3; // requests a second
     let rate = day.load.rate.unwrap_or(most * d.of(day.load.of_capacity));
     let (swing, phase) = (d.of(day.load.swing), d.0.random::<f64>());
     let length = day.length_s * 1e3;
--- a/crates/emulator/src/result.rs
+++ b/crates/emulator/src/result.rs
@@ -193,20 +193,22 @@
     (value * 1e6).round() / 1e6
 }
 
-fn share(part: f64, of: f64) -> f64 {
+/// A part of something; `empty` where there is nothing to be a part of.
+fn part(part: f64, of: f64, empty: f64) -> f64 {
     if of > 0.0 {
         round(part / of)
     } else {
-        1.0
+        empty
     }
 }
 
-fn ratio(part: f64, of: f64) -> f64 {
-    if of > 0.0 {
-        round(part / of)
-    } else {
-        0.0
-    }
+/// Worth earned of the worth asked for; nothing asked for is nothing lost.
+fn share(earned: f64, asked: f64) -> f64 {
+    part(earned, asked, 1.0)
+}
+
+fn ratio(some: f64, of: f64) -> f64 {
+    part(some, of, 0.0)
 }
 
 /// A histogram of times in microseconds, up to a minute, to three digits.
@@ -304,17 +306,17 @@
 }
 
 fn attempts(ledger: &Ledger) -> Attempts {
-    let mut all = Attempts::default();
+    let (mut all, mut ends) = (Attempts::default(), BTreeMap::<AttemptEnd, u64>::new());
     for one in &ledger.tries {
         all.most = all.most.max(one.attempts.len());
         for attempt in &one.attempts {
             all.sent += 1;
             all.second_copies += u64::from(attempt.second_copy);
-            let word = serde_json::to_value(attempt.end).ok();
-            let word = word.and_then(|w| w.as_str().map(str::to_owned)).unwrap_or_default();
-            *all.by_end.entry(word).or_default() += 1;
+            *ends.entry(attempt.end).or_default() += 1;
         }
     }
+    let named = |end: AttemptEnd| serde_json::to_value(end).ok()?.as_str().map(str::to_owned);
+    all.by_end = ends.into_iter().filter_map(|(end, count)| Some((named(end)?, count))).collect();
     all.wasted_share = ratio(ledger.work.1, ledger.work.0);
     all.crossed_share = ratio(ledger.crossed as f64, all.sent as f64);
     all
--- a/crates/emulator/src/rude.rs
+++ b/crates/emulator/src/rude.rs
@@ -43,7 +43,7 @@
 
 async fn one<F: Fabric>(world: Rc<World<F>>, sidecar: usize, number: u64) {
     let text = BAD[number as usize % BAD.len()];
-    let (kills, began) = (world.starts(sidecar), world.now());
+    let (kills, began) = (world.kills(sidecar), world.now());
     let Ok(mut stream) = world.fabric.connect(world.addresses.listen(sidecar)).await else { return };
     world.ledger.borrow_mut().bad.0 += 1;
     let exchange = async {
@@ -63,7 +63,7 @@
     };
     let limit = world.instant(began + OWED + world.plan.day.limits.slack_ms);
     let answer = tokio::time::timeout_at(limit, exchange).await;
-    let excused = world.starts(sidecar) != kills || !world.sidecar_up(sidecar);
+    let excused = world.excused(sidecar, kills);
     let now = world.now();
     let mut ledger = world.ledger.borrow_mut();
     match answer {
--- a/crates/emulator/src/server.rs
+++ b/crates/emulator/src/server.rs
@@ -125,8 +125,6 @@
     pub fallen: bool,
     /// The figures as they were at the last two refreshes.
     figures: [(f64, Report); 2],
-    /// Core time spent, and that of it on work which nobody waited for (ms of a standard core).
-    pub spent: f64,
     /// How often it has turned slow.
     pub chokes: u64,
     mean_work: f64,
@@ -157,7 +155,6 @@
             sent: VecDeque::new(),
             fallen: false,
             figures: [(0.0, Report::default()); 2],
-            spent: 0.0,
             chokes: 0,
             mean_work,
         }
@@ -166,15 +163,8 @@
     /// Its process starts anew, cold and empty.
     pub fn start(&mut self, now: f64) {
         let plan = self.plan.clone();
-        let (seed, slowed, spent, chokes) = (self.seed, self.slowed, self.spent, self.chokes);
-        *self = Server {
-            now,
-            started: Some(now),
-            slowed,
-            spent,
-            chokes,
-            ..Server::new(plan, seed, self.mean_work)
-        };
+        let (seed, slowed, chokes) = (self.seed, self.slowed, self.chokes);
+        *self = Server { now, started: Some(now), slowed, chokes, ..Server::new(plan, seed, self.mean_work) };
         self.next_pause = now + self.plan.pause.0.max(1.0);
         self.figures = [(now, Report::default()); 2];
     }
@@ -302,7 +292,6 @@
         }
         self.refresh(until);
         self.attained += pace * passed;
-        self.spent += pace * passed * self.running.len() as f64;
         self.now = until;
         // A hair of slack, as sums of small steps do not meet an end exactly.
         let attained = self.attained + 1e-6;
@@ -353,7 +342,7 @@
         (self.running.len() as f64 / self.plan.cores).min(1.0)
     }
 
-    /// Takes a job, or says why not. What it was sent counts against the budget of a cold server either way.
+    /// Takes a job, or says why not.
     pub fn offer(&mut self, job: Job) -> Result<(), TurnedAway> {
         match self.phase {
             Phase::Down => return Err(TurnedAway::Down),
@@ -412,7 +401,6 @@
     /// Work that belongs to no request.
     pub fn chore(&mut self, work: f64) {
         self.chores += work;
-        self.spent += work;
     }
 
     /// Stands still until then.
--- a/crates/emulator/src/world.rs
+++ b/crates/emulator/src/world.rs
@@ -129,6 +129,8 @@
     origin: Instant,
     epoch: f64,
     day_start: Cell<f64>,
+    /// Mean work of the day's requests.
+    mean_work: f64,
     members: RefCell<Vec<Rc<Member>>>,
     beside: RefCell<Vec<Beside>>,
     kept: RefCell<Vec<Vec<Wire<F::Stream>>>>,
@@ -139,6 +141,11 @@
     ending: Cell<bool>,
 }
 
+/// Seed of a server's own chances; `purpose` tells those of the beginning from those added later.
+fn server_seed(plan: &Plan, purpose: u64, number: usize) -> u64 {
+    (hashed(plan.seed, &[purpose, number as u64]) * 1e15) as u64
+}
+
 impl<F: Fabric> World<F> {
     /// A world at its beginning; `epoch` is the Unix time (ms) that its clocks show then.
     pub fn new(
@@ -148,12 +155,12 @@
         epoch: f64,
         sidecars: Rc<dyn Sidecars>,
     ) -> Rc<World<F>> {
-        let mean: f64 = plan.arrivals.iter().map(|a| a.work).sum::<f64>() / plan.arrivals.len().max(1) as f64;
-        let models = plan.servers.iter().enumerate().map(|(n, server)| {
-            let seed = (hashed(plan.seed, &[41, n as u64]) * 1e15) as u64;
-            Member::new(n, n, Server::new(server.clone(), seed, mean))
+        let mean_work = plan.arrivals.iter().map(|a| a.work).sum::<f64>() / plan.arrivals.len().max(1) as f64;
+        let members = plan.servers.iter().enumerate().map(|(n, server)| {
+            let model = Server::new(server.clone(), server_seed(&plan, 41, n), mean_work);
+            Member::new(n, n, model)
         });
-        let members: Vec<_> = models.collect();
+        let members: Vec<_> = members.collect();
         let count = plan.sidecars.len();
         Rc::new(World {
             fabric,
@@ -165,6 +172,7 @@
             origin: Instant::now(),
             epoch,
             day_start: Cell::new(0.0),
+            mean_work,
             members: RefCell::new(members),
             beside: RefCell::new(vec![Beside::default(); count]),
             kept: RefCell::new((0..count).map(|_| Vec::new()).collect()),
@@ -225,15 +233,11 @@
         let near = self.plan.sidecars[sidecar].zone == member.model.borrow().plan.zone;
         self.draws.set(self.draws.get() + 1);
         let draw = hashed(self.plan.seed, &[42, self.draws.get()]);
-        if near {
-            same * factor(jitter, draw)
-        } else {
-            cross * factor(jitter, draw)
-        }
+        (if near { same } else { cross }) * factor(jitter, draw)
     }
 
-    /// Share of a server's answers that is spoilt now.
-    pub fn spoilt_share(&self, _server: usize, now: f64) -> f64 {
+    /// Share of the answers that is spoilt now.
+    pub fn spoilt_share(&self, now: f64) -> f64 {
         self.active(TroubleKind::Garble, now).map(|t| t.part).sum()
     }
 
@@ -248,10 +252,15 @@
     }
 
     /// How often a sidecar has ended without being asked to.
-    pub fn starts(&self, sidecar: usize) -> u64 {
+    pub fn kills(&self, sidecar: usize) -> u64 {
         self.beside.borrow()[sidecar].kills
     }
 
+    /// Whether what a sidecar had in hand since it had ended so often is nobody's fault: it was killed.
+    pub fn excused(&self, sidecar: usize, kills: u64) -> bool {
+        self.kills(sidecar) != kills || !self.sidecar_up(sidecar)
+    }
+
     /// How often a sidecar was started.
     pub fn started(&self, sidecar: usize) -> u64 {
         self.beside.borrow()[sidecar].starts
@@ -454,11 +463,8 @@
     fn add_server(self: &Rc<Self>, zone: usize, place: Option<usize>) {
         let number = self.members.borrow().len();
         let plan = self.plan.replacement(number - self.plan.servers.len(), zone);
-        let seed = (hashed(self.plan.seed, &[44, number as u64]) * 1e15) as u64;
-        let mean =
-            self.plan.arrivals.iter().map(|a| a.work).sum::<f64>() / self.plan.arrivals.len().max(1) as f64;
-        let place = place.unwrap_or(number);
-        let member = Member::new(number, place, Server::new(plan, seed, mean));
+        let model = Server::new(plan, server_seed(&self.plan, 44, number), self.mean_work);
+        let member = Member::new(number, place.unwrap_or(number), model);
         self.members.borrow_mut().push(member.clone());
         member.with(self.now(), |m| m.start(self.now()));
         self.serve(&member);
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -1,7 +1,7 @@
 //! The laboratory: plays days against the whole sidecar, and shows what came of them.
 #![forbid(unsafe_code)]
 
-use clap::{Parser, Subcommand};
+use clap::{Parser, Subcommand, ValueEnum};
 use roseproxy_emulator::day::Day;
 use roseproxy_lab::run::How;
 use roseproxy_lab::strategies::Strategy;
@@ -195,8 +195,8 @@
             let known: serde_json::Value = serde_json::from_str(&text).map_err(|e| e.to_string())?;
             let seed = known.get("seed").and_then(serde_json::Value::as_u64).unwrap_or(day.seed);
             let name = known.get("strategy").and_then(|s| s.as_str()).unwrap_or("module").to_owned();
-            let strategy = Strategy::ALL.into_iter().find(|s| s.name() == name);
-            let strategy = strategy.ok_or_else(|| format!("result.json: unknown strategy {name}"))?;
+            let strategy = Strategy::from_str(&name, false);
+            let strategy = strategy.map_err(|_| format!("result.json: unknown strategy {name}"))?;
             let played = run::play(&day, seed, &How { strategy, ..How::default() })?;
             report::report(&played, &folder)?;
             println!("report: {}", folder.join("report.html").display());
--- a/crates/lab/src/real.rs
+++ b/crates/lab/src/real.rs
@@ -1,6 +1,7 @@
 //! The driver on real sockets: the same day on 127.0.0.0/8 against processes of the program.
 
-use crate::run::{live, Timing};
+use crate::live::Live;
+use crate::run::Timing;
 use roseproxy_emulator::fabric::Loopback;
 use roseproxy_emulator::plan::Plan;
 use roseproxy_emulator::world::{Addresses, Sidecars, Signal, World};
@@ -172,7 +173,7 @@
             spent: RefCell::default(),
         });
         let world = World::new(Loopback, plan, Addresses { port }, epoch, sidecars.clone());
-        let shown = live(show).map(|live| tokio::task::spawn_local(live.show(world.clone())));
+        let shown = show.then(|| tokio::task::spawn_local(Live::default().show(world.clone())));
         world.play().await?;
         shown.iter().for_each(|s| s.abort());
         let (result, more) = then(&world);
--- a/crates/lab/src/run.rs
+++ b/crates/lab/src/run.rs
@@ -1,6 +1,5 @@
 //! One day played, and what is kept of it.
 
-use crate::live::Live;
 use crate::strategies::Strategy;
 use crate::{real, virtual_time};
 use roseproxy_emulator::day::Day;
@@ -56,12 +55,12 @@
                     "--strategy: yardsticks play in virtual time; real sidecars decide by the module".into(),
                 );
             }
-            real::play(plan, program, how.live, |world| outcome(world, name))?
+            real::play(plan, program, how.live, |world| outcome(world, &name))?
         }
         None => {
             let cpu = real::own_cpu();
             let (outcome, series) =
-                virtual_time::play(plan, how.strategy, None, |world| outcome(world, name))?;
+                virtual_time::play(plan, how.strategy, None, |world| outcome(world, &name))?;
             let timing =
                 Timing { cpu_s: real::own_cpu() - cpu, memory_mb: real::own_memory(), ..Timing::default() };
             (outcome, series, timing)
@@ -153,8 +152,3 @@
     }
     text
 }
-
-/// A live table needs a world on real time.
-pub fn live(on: bool) -> Option<Live> {
-    on.then(Live::default)
-}
--- a/crates/lab/src/strategies.rs
+++ b/crates/lab/src/strategies.rs
@@ -44,24 +44,9 @@
 }
 
 impl Strategy {
-    pub const ALL: [Strategy; 6] = [
-        Strategy::Module,
-        Strategy::Random,
-        Strategy::WeightedRoundRobin,
-        Strategy::LeastOfTwo,
-        Strategy::Prequal,
-        Strategy::AllSeeing,
-    ];
-
-    pub fn name(self) -> &'static str {
-        match self {
-            Strategy::Module => "module",
-            Strategy::Random => "random",
-            Strategy::WeightedRoundRobin => "weighted-round-robin",
-            Strategy::LeastOfTwo => "least-of-two",
-            Strategy::Prequal => "prequal",
-            Strategy::AllSeeing => "all-seeing",
-        }
+    /// Its name, as on the command line.
+    pub fn name(self) -> String {
+        self.to_possible_value().map_or_else(String::new, |value| value.get_name().to_owned())
     }
 }
 
--- a/crates/lab/src/trace.rs
+++ b/crates/lab/src/trace.rs
@@ -84,6 +84,11 @@
     }
 }
 
+/// The world's time (ms) of a module's.
+fn world_time(at: Micros) -> f64 {
+    at as f64 / 1e3 - virtual_time::EPOCH
+}
+
 /// Plays the day and tells the story of one flow.
 pub fn story(day: &Day, seed: u64, strategy: Strategy, flow: usize) -> Result<String, String> {
     let plan = Plan::draw(day, seed);
@@ -134,12 +139,11 @@
             let log = log.borrow();
             let (sent, sidecar) = (one.sent, arrival.sidecar);
             let at_host = |e: &&Entry| {
-                let at = e.0 as f64 / 1e3 - virtual_time::epoch();
-                e.1 == sidecar && e.3.starts_with("told: request") && (at - sent).abs() < 1.5
+                e.1 == sidecar && e.3.starts_with("told: request") && (world_time(e.0) - sent).abs() < 1.5
             };
             if let Some((.., request, _)) = log.iter().find(at_host) {
                 for (at, .., what) in log.iter().filter(|e| e.1 == sidecar && e.2 == *request) {
-                    entries.push((*at as f64 / 1e3 - virtual_time::epoch(), format!("    {what}")));
+                    entries.push((world_time(*at), format!("    {what}")));
                 }
             }
         }
--- a/crates/lab/src/virtual_time.rs
+++ b/crates/lab/src/virtual_time.rs
@@ -27,15 +27,9 @@
 use std::rc::{Rc, Weak};
 use tokio::sync::mpsc::{unbounded_channel, UnboundedSender};
 use tokio::task::{spawn_local, JoinHandle, LocalSet};
-use tokio::time::Instant;
 
 /// Unix time (ms) at which every virtual world begins.
-const EPOCH: f64 = 1_800_000_000_000.0;
-
-/// The same, for who reads the clocks of a virtual world.
-pub fn epoch() -> f64 {
-    EPOCH
-}
+pub const EPOCH: f64 = 1_800_000_000_000.0;
 /// Descriptors that a program holds besides its streams: standard ones, the runtime's, the listener.
 const BESIDES: usize = 8;
 
@@ -84,6 +78,10 @@
 }
 
 impl InProcess {
+    fn now(&self) -> f64 {
+        self.world.borrow().upgrade().map_or(0.0, |w| w.now())
+    }
+
     fn truth(&self) -> Truth {
         let world = self.world.borrow().clone();
         Rc::new(move |id: ServerId| {
@@ -168,12 +166,6 @@
     }
 }
 
-impl InProcess {
-    fn now(&self) -> f64 {
-        self.world.borrow().upgrade().map_or(0.0, |w| w.now())
-    }
-}
-
 /// Plays a draw of a day; `then` reads what it wants from the world before that ends.
 pub fn play<T>(
     plan: Plan,
@@ -194,7 +186,6 @@
         });
         let world = World::new(memory, plan, Addresses { port: 7070 }, EPOCH, sidecars.clone());
         *sidecars.world.borrow_mut() = Rc::downgrade(&world);
-        let _began = Instant::now();
         world.play().await?;
         Ok(then(&world))
     })
--- a/crates/limits/src/route.rs
+++ b/crates/limits/src/route.rs
@@ -1,5 +1,6 @@
 //! Routes: which of them a request takes. The first that fits wins.
 
+use std::cmp::Ordering;
 use std::collections::HashMap;
 
 /// What a route wants of a request; what it leaves open fits all.
@@ -69,54 +70,33 @@
 
     /// How this one lies to another, field by field.
     pub fn lies(&self, other: &Match) -> Lie {
-        fn field<T>(a: Option<&T>, b: Option<&T>, wider: impl Fn(&T, &T) -> bool) -> Lie {
+        /// What is open is wider than anything named; `None`: no request fits both.
+        fn field<T>(a: &Option<T>, b: &Option<T>, wider: impl Fn(&T, &T) -> bool) -> Option<Ordering> {
             match (a, b) {
-                (None, _) => Lie::Covers,
-                (Some(_), None) => Lie::Within,
-                (Some(a), Some(b)) if wider(a, b) => Lie::Covers,
-                (Some(a), Some(b)) if wider(b, a) => Lie::Within,
-                _ => Lie::Apart,
+                (None, None) => Some(Ordering::Equal),
+                (None, Some(_)) => Some(Ordering::Greater),
+                (Some(_), None) => Some(Ordering::Less),
+                (Some(a), Some(b)) => match (wider(a, b), wider(b, a)) {
+                    (true, true) => Some(Ordering::Equal),
+                    (true, false) => Some(Ordering::Greater),
+                    (false, true) => Some(Ordering::Less),
+                    (false, false) => None,
+                },
             }
         }
-        let equal = |a: &String, b: &String| a == b;
         let fields = [
-            field(self.class.as_ref(), other.class.as_ref(), equal),
-            field(self.tenant.as_ref(), other.tenant.as_ref(), equal),
-            field(self.host.as_ref(), other.host.as_ref(), |a, b| a.eq_ignore_ascii_case(b)),
-            field(self.path_prefix.as_ref(), other.path_prefix.as_ref(), |a, b| begins(b, a)),
-            field(self.client_retry.as_ref(), other.client_retry.as_ref(), |a, b| a == b),
+            field(&self.class, &other.class, |a, b| a == b),
+            field(&self.tenant, &other.tenant, |a, b| a == b),
+            field(&self.host, &other.host, |a, b| a.eq_ignore_ascii_case(b)),
+            field(&self.path_prefix, &other.path_prefix, |a, b| begins(b, a)),
+            field(&self.client_retry, &other.client_retry, |a, b| a == b),
         ];
-        if fields.contains(&Lie::Apart) {
-            return Lie::Apart;
-        }
-        // A field that is open in both counts as covering, which is no reason against `Within`.
-        let open = |n: usize| {
-            let both = [
-                self.class.is_none() && other.class.is_none(),
-                self.tenant.is_none() && other.tenant.is_none(),
-                self.host.is_none() && other.host.is_none(),
-                self.path_prefix.is_none() && other.path_prefix.is_none(),
-                self.client_retry.is_none() && other.client_retry.is_none(),
-            ];
-            both[n]
-        };
-        let same = |n: usize| open(n) || (fields[n] == Lie::Covers && self.equal_field(other, n));
-        let covers = (0..fields.len()).all(|n| fields[n] == Lie::Covers);
-        let within = (0..fields.len()).all(|n| fields[n] == Lie::Within || same(n));
-        match (covers, within) {
-            (true, _) => Lie::Covers,
-            (false, true) => Lie::Within,
-            (false, false) => Lie::Cross,
-        }
-    }
-
-    fn equal_field(&self, other: &Match, n: usize) -> bool {
-        match n {
-            0 => self.class == other.class,
-            1 => self.tenant == other.tenant,
-            2 => self.host == other.host,
-            3 => self.path_prefix == other.path_prefix,
-            _ => self.client_retry == other.client_retry,
+        let none = |order| !fields.contains(&Some(order));
+        match (fields.contains(&None), none(Ordering::Less), none(Ordering::Greater)) {
+            (true, ..) => Lie::Apart,
+            (_, true, _) => Lie::Covers,
+            (_, _, true) => Lie::Within,
+            _ => Lie::Cross,
         }
     }
 }
@@ -136,10 +116,11 @@
     pub fn new(matches: Vec<Match>) -> Table {
         let open: Vec<usize> = (0..matches.len()).filter(|n| matches[*n].class.is_none()).collect();
         let mut by_class: HashMap<String, Vec<usize>> = HashMap::new();
-        for class in matches.iter().filter_map(|m| m.class.clone()) {
-            let fit = |n: &usize| matches[*n].class.as_ref().is_none_or(|c| *c == class);
-            let routes = (0..matches.len()).filter(fit).collect();
-            by_class.entry(class.clone()).or_insert(routes);
+        for class in matches.iter().filter_map(|m| m.class.as_ref()) {
+            if !by_class.contains_key(class) {
+                let fit = |n: &usize| matches[*n].class.as_ref().is_none_or(|c| c == class);
+                by_class.insert(class.clone(), (0..matches.len()).filter(fit).collect());
+            }
         }
         Table { matches, by_class, open }
     }
--- a/crates/transport/src/connection.rs
+++ b/crates/transport/src/connection.rs
@@ -1,7 +1,8 @@
 //! One connection to a target: hyper's client, with the bytes of each request counted.
 
-use super::meter::{Meter, Metered};
+use super::meter::Meter;
 use super::network::Quiet;
+use super::tap::Tapped;
 use super::Task;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
@@ -62,7 +63,8 @@
     where
         S: AsyncRead + AsyncWrite + Unpin + 'static,
     {
-        let (stream, meter) = Metered::new(stream);
+        let meter = Meter::default();
+        let stream = Tapped::new(stream, meter.clone());
         let (sender, driver) = handshake(TokioIo::new(stream)).await?;
         // What goes wrong on it shows in the exchange, or as a closed connection.
         let driver = tokio::task::spawn_local(async move { drop(driver.await) });
--- a/crates/transport/src/head.rs
+++ b/crates/transport/src/head.rs
@@ -3,12 +3,9 @@
 //! hyper drops a `Content-Length` that stands beside a `Transfer-Encoding` and goes by the latter, so a
 //! service cannot tell that there were both; and it says nothing of a head that has only begun.
 
+use super::tap::Tap;
 use std::cell::{Cell, RefCell};
-use std::io;
-use std::pin::Pin;
 use std::rc::Rc;
-use std::task::{ready, Context, Poll};
-use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 
 /// How a request says where its body ends.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -107,64 +104,17 @@
     None
 }
 
-/// A client's stream whose incoming bytes are looked at.
-pub(super) struct Watched<S> {
-    stream: S,
-    incoming: Rc<Incoming>,
-    now: roseproxy_routing::time::Now,
-    limit: usize,
+/// Looks at what comes in on a client's stream.
+pub(super) struct Watch {
+    pub incoming: Rc<Incoming>,
+    pub now: roseproxy_routing::time::Now,
+    /// Longest head that is read.
+    pub limit: usize,
 }
 
-impl<S> Watched<S> {
-    pub fn new(
-        stream: S,
-        incoming: Rc<Incoming>,
-        now: roseproxy_routing::time::Now,
-        limit: usize,
-    ) -> Watched<S> {
-        Watched { stream, incoming, now, limit }
-    }
-}
-
-impl<S: AsyncRead + Unpin> AsyncRead for Watched<S> {
-    fn poll_read(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        buf: &mut ReadBuf<'_>,
-    ) -> Poll<io::Result<()>> {
-        let before = buf.filled().len();
-        ready!(Pin::new(&mut self.stream).poll_read(cx, buf))?;
-        let new = &buf.filled()[before..];
-        if !new.is_empty() {
-            self.incoming.take((self.now)(), new, self.limit);
-        }
-        Poll::Ready(Ok(()))
-    }
-}
-
-impl<S: AsyncWrite + Unpin> AsyncWrite for Watched<S> {
-    fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write(cx, buf)
-    }
-
-    fn poll_write_vectored(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        bufs: &[io::IoSlice<'_>],
-    ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write_vectored(cx, bufs)
-    }
-
-    fn is_write_vectored(&self) -> bool {
-        self.stream.is_write_vectored()
-    }
-
-    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_flush(cx)
-    }
-
-    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_shutdown(cx)
+impl Tap for Watch {
+    fn came(&mut self, bytes: &[u8]) {
+        self.incoming.take((self.now)(), bytes, self.limit);
     }
 }
 
--- a/crates/transport/src/lib.rs
+++ b/crates/transport/src/lib.rs
@@ -15,6 +15,7 @@
 mod meter;
 pub mod network;
 pub mod pool;
+mod tap;
 
 pub use gateway::{connect, Gateway, Traffic};
 
--- a/crates/transport/src/listener.rs
+++ b/crates/transport/src/listener.rs
@@ -2,8 +2,9 @@
 
 use super::budget::{Budget, Permit};
 use super::gateway::{count, Gateway};
-use super::head::{Framing, Incoming, Watched};
+use super::head::{Framing, Incoming, Watch};
 use super::network::Network;
+use super::tap::Tapped;
 use super::{length, Task};
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming as Body;
@@ -168,7 +169,8 @@
         self.last.set(self.last.get() + 1);
         let number = self.last.get();
         self.seats.borrow_mut().insert(number, seat.clone());
-        let stream = Watched::new(stream, seat.incoming.clone(), self.gateway.clock(), HEAD_LIMIT);
+        let watch = Watch { incoming: seat.incoming.clone(), now: self.gateway.clock(), limit: HEAD_LIMIT };
+        let stream = Tapped::new(stream, watch);
         let service = service_fn(|request| self.clone().handle(seat.clone(), request));
         let connection = http1::Builder::new()
             // `keep_limits` has the time: hyper's would run between requests too.
--- a/crates/transport/src/meter.rs
+++ b/crates/transport/src/meter.rs
@@ -1,5 +1,6 @@
 //! Byte accounting: how much of a request the socket has taken.
 
+use super::tap::Tap;
 use socket2::SockRef;
 use std::cell::Cell;
 use std::io::{self, IoSlice};
@@ -19,62 +20,10 @@
     }
 }
 
-/// A stream whose written bytes are counted where the socket takes them: what hyper has buffered
-/// does not count, and what it says of an error is not asked.
-#[derive(Debug)]
-pub(super) struct Metered<S> {
-    stream: S,
-    meter: Meter,
-}
-
-impl<S> Metered<S> {
-    pub fn new(stream: S) -> (Metered<S>, Meter) {
-        let meter = Meter::default();
-        (Metered { stream, meter: meter.clone() }, meter)
-    }
-
-    fn count(&self, written: usize) {
-        self.meter.0.set(self.meter.0.get() + written as u64);
-    }
-}
-
-impl<S: AsyncRead + Unpin> AsyncRead for Metered<S> {
-    fn poll_read(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        buf: &mut ReadBuf<'_>,
-    ) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_read(cx, buf)
-    }
-}
-
-impl<S: AsyncWrite + Unpin> AsyncWrite for Metered<S> {
-    fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
-        let written = ready!(Pin::new(&mut self.stream).poll_write(cx, buf))?;
-        self.count(written);
-        Poll::Ready(Ok(written))
-    }
-
-    fn poll_write_vectored(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        bufs: &[IoSlice<'_>],
-    ) -> Poll<io::Result<usize>> {
-        let written = ready!(Pin::new(&mut self.stream).poll_write_vectored(cx, bufs))?;
-        self.count(written);
-        Poll::Ready(Ok(written))
-    }
-
-    fn is_write_vectored(&self) -> bool {
-        self.stream.is_write_vectored()
-    }
-
-    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_flush(cx)
-    }
-
-    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_shutdown(cx)
+/// What the socket takes counts; what hyper has buffered does not, and what it says of an error is not asked.
+impl Tap for Meter {
+    fn went(&mut self, count: usize) {
+        self.0.set(self.0.get() + count as u64);
     }
 }
 
