Give a popular key as many homes as the fleet has fourteens of servers

Seen: on the larger fleet (100 sidecars, 60 servers) a quarter to a half of all tries are refused from the first second on, while answers take 28 ms (median), before any trouble begins.

Cause: home_of in policy.rs gives each key one server, the same at all sidecars. The most popular key carries an eighth of all requests; at 9 to 14 servers its home can do that, at 60 it is seven servers' work, on one that then turns slow for all its keys.

Change: crates/fleet, the package for bounds by fleet size, with the number of homes a key has (one for each 14 servers; today one, with the same draws as before) and who suits them. A request draws one.

The test sends 600 of 600 to one server without the change.

--- a/crates/decision/src/policy.rs
+++ b/crates/decision/src/policy.rs
@@ -9,6 +9,7 @@
 pub use crate::state::{Balancer, Vessel};
 use rand_core::{RngCore, SeedableRng};
 use rand_xoshiro::Xoshiro128PlusPlus;
+use roseproxy_fleet::homes::{homes, suits};
 
 /// Points that probing may cost; with the price of a probe it says how many a request affords.
 const PROBE_SPEND: f64 = 0.008;
@@ -288,15 +289,14 @@
 
     // ---- shares
 
-    /// The server that all balancers give a key to first (weighted rendezvous), as one that met it
-    /// lately does less work for it.
-    fn home_of(&self, key: Option<u64>) -> Option<usize> {
+    /// One of the servers that all balancers give a key to first, as one that met it lately does less
+    /// work for it.
+    fn home_of(&mut self, key: Option<u64>) -> Option<usize> {
         let key = key.filter(|_| self.settings.warm_keys)?;
-        let height = |b: &Backend| {
-            let mixed = Xoshiro128PlusPlus::seed_from_u64(key ^ b.info.id.0).next_u64() >> 11;
-            ((mixed as f64 + 1.0) / (1_u64 << 53) as f64).ln() / b.info.power
-        };
-        self.usable().max_by(|a, b| height(&self.backends[*a]).total_cmp(&height(&self.backends[*b])))
+        let homes = homes(self.usable().count());
+        let home = if homes > 1 { (self.uniform() * homes as f64) as usize } else { 0 };
+        let suits = |s: &usize| suits(key, home, self.backends[*s].info.id.0, self.backends[*s].info.power);
+        self.usable().max_by(|a, b| suits(a).total_cmp(&suits(b)))
     }
 
     /// Fills `self.shares` for the servers in `set`, with figures of this age. A key's home counts as
--- a/crates/decision/tests/keys.rs
+++ b/crates/decision/tests/keys.rs
@@ -163,3 +163,22 @@
     assert_eq!(refusals(1), 0);
     assert!(refusals(8) > 20, "half of the fleet is full: {}", refusals(8));
 }
+
+/// At 60 servers a popular key is several servers' work: with one home for it, the same at a hundred
+/// sidecars, that home was crowded and turned slow while the others stood half idle.
+#[test]
+fn many_servers_share_a_popular_key() {
+    let settings = Settings { warm_keys: true, balancers: 100, ..settings() };
+    let mut d = Driver::new(settings, 3, 60);
+    let mut went = [0; 60];
+    for id in 1..=600 {
+        for s in sent(&keyed_request(d.wait(20_000), id, 77)) {
+            went[s as usize] += 1;
+            drop(d.wait(30_000).end_after(id, 0, s, Outcome::Served, 30_000, held(1.0)));
+        }
+    }
+    let most = went.iter().max().copied().unwrap_or(0);
+    assert!(most < 600 * 2 / 5, "{most} of 600 went to one server");
+    let homes = went.iter().filter(|w| **w > 60).count();
+    assert!((3..=5).contains(&homes), "{homes} homes: the key is not met again while it is remembered");
+}
