Bound what a few crowded servers and cold homes make a hundred sidecars do

Causes, all in what one sidecar of a hundred makes of little: - refresh_table: the mean reported load is over the few servers it has asked; two stuck ones with 30 to 40 requests made a mean of 3 to 6 where the middle is 0 to 1, and every server not asked counts as that. usual_load (crates/fleet) bounds a figure far above the middle. - effective_load: a report fades in 8 stays (0.5 s), a server is asked again by the same sidecar after half a minute: crowded ones were drawn again at once.

Three tests, two seen to fail with one change out, one with the mean as it was.

--- a/crates/decision/src/lib.rs
+++ b/crates/decision/src/lib.rs
@@ -23,6 +23,7 @@
 #![warn(missing_docs)]
 
 pub mod interface;
+mod learn;
 pub mod picture;
 pub mod policy;
 mod state;
--- a/crates/decision/src/policy.rs
+++ b/crates/decision/src/policy.rs
@@ -5,11 +5,13 @@
 //! is a random draw by shares. The rest is health, further attempts, refusals and the list.
 
 use crate::interface::*;
-use crate::state::{pick as find, Attempt, Backend, Held, Kind, Subscription, SUSPECT};
+use crate::learn::NEWS;
+use crate::state::{pick as find, Attempt, Backend, Held, Subscription, SUSPECT};
 pub use crate::state::{Balancer, Vessel};
 use rand_core::{RngCore, SeedableRng};
 use rand_xoshiro::Xoshiro128PlusPlus;
 use roseproxy_fleet::homes::{homes, suits};
+use roseproxy_fleet::usual::usual_load;
 
 /// Points that probing may cost; with the price of a probe it says how many a request affords.
 const PROBE_SPEND: f64 = 0.008;
@@ -29,9 +31,8 @@
 const BUSY: f64 = 0.5;
 /// Time (microseconds) in which most of what was learnt of late answers is forgotten.
 const FORGET: f64 = 1e6;
-/// Time out of reach after which a server counts as lost, and how late the list may tell of a start.
+/// Time out of reach after which a server counts as lost.
 const LOST: Micros = 500_000;
-const NEWS: Micros = 6_000_000;
 /// Servers remembered before new ones take the place of those that are gone.
 const MOST: usize = 64;
 /// Shares of capacity with room and of late answers from and up to which one full server refuses nobody.
@@ -240,53 +241,6 @@
         self.table_at = None;
     }
 
-    /// How long that much work should take there: all that it holds shares its capacity.
-    fn forecast(&self, slot: usize, work: f64) -> f64 {
-        work * (self.effective_load(slot) + 1.0) / self.backends[slot].capacity
-    }
-
-    /// Learns from an answer how fast its server and others of that kind are, and what reports are worth.
-    fn learn_pace(&mut self, slot: usize, work: f64, elapsed: f64) {
-        let elapsed = elapsed.max(100.0);
-        let miss = (self.forecast(slot, work) / elapsed).ln().clamp(-3.0, 3.0);
-        self.spread += (miss.abs() - self.spread) * 0.05;
-        self.stay += (elapsed - self.stay) * 0.05;
-        let b = &mut self.backends[slot];
-        if b.load_at.is_some() && !b.guessed {
-            // Late reports send everybody to servers that only look empty. What tells: answers take as
-            // long as the fleet's mean load says, or longer, and not as the reports say.
-            let off = |load: f64| (elapsed * b.capacity / work / (load + 1.0)).ln().abs();
-            let gain = off(self.mean_load * b.capacity) - off(b.load);
-            self.trust = (self.trust + gain.clamp(-1.0, 1.0) * 0.25).clamp(0.0, 1.0);
-        }
-        // A kind without answers counts as the fleet; one answer must not make it stand out.
-        let kind = self.kinds.entry(b.info.kind).or_insert(Kind { pace: self.pace, seen: 1.0 });
-        let pace = miss + kind.pace + b.pace;
-        (self.seen, kind.seen) = (self.seen + 1.0, kind.seen + 1.0);
-        self.pace += (pace - self.pace) * (1.0 / self.seen).max(0.02);
-        kind.pace += (pace - kind.pace) * (1.0 / kind.seen).max(0.02);
-        b.pace = (b.pace + (pace - kind.pace - b.pace) * 0.15).clamp(-2.5, 0.7);
-    }
-
-    /// The report, moved towards the fleet's mean for its capacity as it ages; the mean without any.
-    fn effective_load(&self, slot: usize) -> f64 {
-        let b = &self.backends[slot];
-        let age = b.load_at.map_or(f64::INFINITY, |at| (self.now - at).max(0) as f64);
-        let mean = self.mean_load * b.capacity;
-        mean + (b.load - mean) * if b.guessed { 1.0 } else { self.trust } / (1.0 + age / (8.0 * self.stay))
-    }
-
-    /// Share of its capacity that a server has at least; 1 once it is warm.
-    fn warmth(&self, slot: usize) -> f64 {
-        let (from, warm_up) = (self.settings.cold_from, self.settings.warm_up.max(1) as f64);
-        let age = |at: Option<Micros>| at.map_or(warm_up, |at| (self.now - at) as f64);
-        // One that is back after it was lost has most likely started anew, which the list tells late:
-        // with its old share it would be pushed over before that.
-        let back = self.backends[slot].back_at.filter(|at| self.now - at < NEWS);
-        let age = age(self.backends[slot].info.started_at).min(age(back));
-        from + (1.0 - from) * (age / warm_up).clamp(0.0, 1.0)
-    }
-
     // ---- shares
 
     /// One of the servers that all balancers give a key to first, as one that met it lately does less
@@ -295,7 +249,9 @@
         let key = key.filter(|_| self.settings.warm_keys)?;
         let homes = homes(self.usable().count());
         let home = if homes > 1 { (self.uniform() * homes as f64) as usize } else { 0 };
-        let suits = |s: &usize| suits(key, home, self.backends[*s].info.id.0, self.backends[*s].info.power);
+        let suits = |s: &usize| {
+            suits(key, home, self.backends[*s].info.id.0, self.backends[*s].info.power * self.warmth(*s))
+        };
         self.usable().max_by(|a, b| suits(a).total_cmp(&suits(b)))
     }
 
@@ -306,13 +262,14 @@
         // stay has left again, so a longer age adds nothing.
         let all = self.settings.balancers as f64 * self.rate * age.min(self.stay) / 1e6;
         let each = all / self.backends.len().max(1) as f64;
+        let old = (age / self.stay).clamp(1.0, 1.0 / self.sight());
         // Where crossing zones costs, balancers fill their own zone first: only those of this zone fill it
         // with this one, and servers of another zone have what their own zone brings as load.
         let fullness = self.mean_load * self.mean_capacity + 1.0 + 2.0 * each;
         let crossing = ZONE_COST * self.settings.prices.cross_zone * fullness;
         let home = if crossing > 0.0 && self.afford() < 2.0 { self.home } else { 1.0 };
         let abroad = crossing + if home < 1.0 { 2.0 * each } else { 0.0 };
-        let m = if home_at.is_some() { 2.0 } else { (each * home * set.len() as f64).max(2.0) };
+        let m = if home_at.is_some() { 2.0 } else { (each * old * home * set.len() as f64).max(2.0) };
         let mut vessels = std::mem::take(&mut self.vessels);
         vessels.clear();
         let mut total = 0.0;
@@ -353,7 +310,7 @@
         let passed = self.faded_at.map_or(0.0, |at| (now - at) as f64);
         self.faded_at = Some(now);
         self.lateness *= (-passed / FORGET).exp();
-        let (mut load, mut age, mut known, mut capacity) = (0.0, 0.0, 0.0, 0.0);
+        let (mut age, mut known) = (0.0, Vec::new());
         let (mut near, mut ready) = (0.0, 1e-9);
         let overdue = 4.0 * self.stay + 100_000.0;
         // An idle connection is closed once keeping it has cost as much as opening it again would.
@@ -380,16 +337,18 @@
             near += if usable && !self.far(slot) { self.backends[slot].capacity } else { 0.0 };
             let b = &self.backends[slot];
             if let (Readiness::Ready, Some(at), false) = (b.info.readiness, b.load_at, b.guessed) {
-                (load, age) = (load + b.load, age + (now - at) as f64);
-                (known, capacity) = (known + 1.0, capacity + b.capacity);
+                age += (now - at) as f64;
+                known.push((b.load, b.capacity));
             }
         }
-        if known > 0.0 {
-            (self.mean_load, self.mean_capacity, age) = (load / capacity, capacity / known, age / known);
+        if !known.is_empty() {
+            let count = known.len() as f64;
+            self.mean_load = usual_load(&known, self.sight());
+            (self.mean_capacity, age) = (known.iter().map(|(_, c)| c).sum::<f64>() / count, age / count);
         }
         self.home = if near > 0.0 { near / ready } else { 1.0 };
         let all: Vec<usize> = (0..self.backends.len()).collect();
-        self.fill(&all, if known > 0.0 { age } else { self.stay }, None);
+        self.fill(&all, if known.is_empty() { self.stay } else { age }, None);
         std::mem::swap(&mut self.table, &mut self.shares);
         self.table_at = Some(now);
     }
@@ -550,6 +509,13 @@
             self.fill(&set, if fresh { 10_000.0 } else { self.stay }, home);
             find(&self.shares, draw).map(|i| set[i])
         };
+        // What the home of a popular key leaves over goes to one and the same server, drawn greedily by all
+        // sidecars: the more of them there are, the more often it is drawn from the whole table instead.
+        let (sight, left_over) = (self.sight(), first && home.is_some() && pick != home);
+        if left_over && sight < 1.0 && self.uniform() >= sight {
+            let draw = self.uniform();
+            pick = find(&self.table, draw);
+        }
         let left = (deadline - self.now) as f64;
         // Clients ask again at once and a crowded server turns slow for long: a doubt is no benefit.
         let late = aim * (-self.spread * (DOUBT + LATE * self.lateness)).exp();
--- a/crates/decision/src/state.rs
+++ b/crates/decision/src/state.rs
@@ -200,6 +200,11 @@
         (self.rng.next_u64() >> 11) as f64 / (1_u64 << 53) as f64
     }
 
+    /// How much of what happens to the servers it sees by itself.
+    pub(crate) fn sight(&self) -> f64 {
+        roseproxy_fleet::sight(self.settings.balancers)
+    }
+
     /// Probes a server, unless a probe is out.
     pub(crate) fn probe(&mut self, slot: usize) {
         let b = &mut self.backends[slot];
--- /dev/null
+++ b/crates/decision/tests/fleet.rs
@@ -0,0 +1,85 @@
+//! What is harmless when a few sidecars do it and is not when a hundred do; seen on the larger fleet.
+
+mod common;
+use common::*;
+use roseproxy_decision::interface::*;
+
+/// One sidecar of a hundred, before sixty servers of two zones that answer in 30 ms.
+fn one_of_many() -> Driver {
+    let settings = Settings { balancers: 100, warm_keys: true, ..settings() };
+    let mut d = Driver::new(settings, 3, 0);
+    d.list(Update::Complete, &(0..60).map(place).collect::<Vec<_>>());
+    ask(&mut d, 1, 60, |_| 30_000);
+    d
+}
+
+fn place(i: u64) -> Server {
+    Server { zone: i as u32 / 30, cell: i as u32 / 6, ..server(i) }
+}
+
+/// Asks with keys that all differ, 60 ms apart; how many went to each server.
+fn ask(d: &mut Driver, from: u64, count: u64, elapsed: impl Fn(u64) -> Micros) -> Vec<usize> {
+    let mut went = vec![0; 64];
+    for id in from..from + count {
+        let request = Request {
+            id,
+            class: 0,
+            work: None,
+            key: Some(id.wrapping_mul(0x9e37_79b9)),
+            time_left: 1_200_000,
+        };
+        for s in sent(&d.wait(30_000).event(Event::Request(request))) {
+            went[s as usize] += 1;
+            let took = elapsed(s);
+            drop(d.wait(took).end_after(id, 0, s, Outcome::Served, took, None));
+        }
+    }
+    went
+}
+
+/// Two reports of crowded servers among twelve made a sidecar refuse, though all others stood idle.
+#[test]
+fn a_few_crowded_servers_do_not_shut_the_fleet() {
+    let mut d = one_of_many();
+    let mut went = 0;
+    for round in 0..40 {
+        // Ten servers say one request, two say forty.
+        (0..12).for_each(|s| drop(d.probed(s, Outcome::Served, held(if s < 2 { 40.0 } else { 1.0 }))));
+        went += ask(&mut d, 1000 + round * 10, 10, |_| 30_000).iter().sum::<usize>();
+    }
+    assert!(went >= 380, "{went} of 400 were sent");
+}
+
+/// What a crowded server holds is still there long after a usual answer's time; a sidecar that asks it
+/// again every half minute must not forget it in half a second.
+#[test]
+fn a_crowd_is_remembered_for_as_long_as_it_takes_to_leave() {
+    let mut d = one_of_many();
+    let mut to_crowded = 0;
+    for round in 0..20 {
+        (0..60).for_each(|s| drop(d.probed(s, Outcome::Served, held(if s < 12 { 20.0 } else { 1.0 }))));
+        d.wait(3_000_000);
+        to_crowded += ask(&mut d, 1000 + round * 5, 5, |_| 30_000)[..12].iter().sum::<usize>();
+    }
+    assert!(to_crowded <= 12, "{to_crowded} of 100 went to the crowded fifth");
+}
+
+/// Half of the servers are replaced: their keys' homes are cold and take little, and what they left over
+/// went to the one server that looked best, at all sidecars the same one.
+#[test]
+fn what_cold_homes_leave_over_is_spread() {
+    let mut d = one_of_many();
+    let now = d.now;
+    let started = (0..30).map(|i| Server { started_at: Some(now), ..place(i) });
+    d.list(Update::Changes, &started.collect::<Vec<_>>());
+    let mut went = vec![0; 64];
+    for round in 0..20 {
+        // One looks a little better than the rest.
+        (0..60).for_each(|s| drop(d.probed(s, Outcome::Served, held(if s == 50 { 0.0 } else { 1.0 }))));
+        let some = ask(&mut d, 1000 + round * 10, 10, |_| 30_000);
+        went.iter_mut().zip(some).for_each(|(all, some)| *all += some);
+    }
+    // They can do three tenths of what they will, and that is a fifth of the whole.
+    let cold: usize = went[..30].iter().sum();
+    assert!(cold >= 30, "{cold} of {} went to the thirty cold servers", went.iter().sum::<usize>());
+}
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -8,3 +8,26 @@
 #![warn(missing_docs)]
 
 pub mod homes;
+pub mod usual;
+
+/// Sidecars up to which each sees enough of the servers by itself.
+const FEW: f64 = 10.0;
+
+/// How much of what happens to the servers one sidecar sees, compared with one of a small fleet: 1 up to
+/// ten sidecars, a tenth at a hundred. The traffic of a server grows little with the fleet, so every
+/// sidecar's part of it shrinks, and with it the number of answers that teach it anything.
+pub fn sight(sidecars: usize) -> f64 {
+    (FEW / sidecars.max(1) as f64).min(1.0)
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn sight_is_whole_today_and_never_nothing() {
+        assert!([0, 1, 4, 9, 10].iter().all(|n| sight(*n) == 1.0));
+        assert_eq!(sight(100), 0.1);
+        assert!(sight(10_000_000) > 0.0 && sight(usize::MAX) > 0.0);
+    }
+}
