Give keys homes by their popularity, and stay away from a bad server after one outcome

Causes: (1) every key had five homes at 60 servers: too few for the most popular (a sixth of all requests, ten servers' work), too many for the others, which are met again too late. (2) learn and suspect in policy.rs: two bad outcomes set a server aside, for 0.3 s, at each of a hundred sidecars; what one pays twice the fleet pays two hundred times.

Change: Popularity (crates/fleet) counts a sidecar's keys, decayed and bounded; a key has as many homes as its share of the requests needs, each half a server's part, of one and the same row. One bad outcome weighs 0.6 (0.3 up to ten sidecars) and the first rest is 3 s (0.3 s); both by sight. Nothing changes up to ten sidecars.

Tests seen to fail without each (160 of 160 to one server; 15 against 12 or fewer to servers that hang).

--- a/crates/decision/src/policy.rs
+++ b/crates/decision/src/policy.rs
@@ -10,6 +10,7 @@
 pub use crate::state::{Balancer, Vessel};
 use rand_core::{RngCore, SeedableRng};
 use rand_xoshiro::Xoshiro128PlusPlus;
+use roseproxy_fleet::aside;
 use roseproxy_fleet::homes::{homes, suits};
 use roseproxy_fleet::usual::usual_load;
 
@@ -190,7 +191,7 @@
     // ---- what is known of a server
 
     fn learn(&mut self, slot: usize, outcome: Outcome, load: Option<Load>, probe: bool) {
-        let (now, born) = (self.now, self.born);
+        let (now, born, sight) = (self.now, self.born, self.sight());
         let b = &mut self.backends[slot];
         let mean = self.mean_load * b.capacity;
         if let Some(figure) = load.and_then(|l| l.held.or(l.waiting)).filter(|l| (0.0..1e6).contains(l)) {
@@ -225,7 +226,8 @@
             // The trial is passed: real work again, but the next bad outcome brings the rest back.
             (true, false) => b.trouble = b.trouble.min(GAIN),
         }
-        b.trouble += (bad - b.trouble) * GAIN;
+        let gain = if bad > 0.0 { aside::weight(GAIN, sight) } else { GAIN };
+        b.trouble += (bad - b.trouble) * gain;
         if b.trouble >= SUSPECT && b.until <= now {
             self.suspect(slot);
         }
@@ -233,9 +235,10 @@
 
     fn suspect(&mut self, slot: usize) {
         let jitter = 0.5 + self.uniform();
+        let first = aside::first_rest(REST.0, REST.1, self.sight());
         let b = &mut self.backends[slot];
         b.trouble = b.trouble.max(SUSPECT);
-        b.rest = b.rest.clamp(REST.0, REST.1);
+        b.rest = b.rest.clamp(first, REST.1);
         b.until = self.now + (b.rest as f64 * jitter) as Micros;
         b.rest *= 2;
         self.table_at = None;
@@ -247,7 +250,7 @@
     /// work for it.
     fn home_of(&mut self, key: Option<u64>) -> Option<usize> {
         let key = key.filter(|_| self.settings.warm_keys)?;
-        let homes = homes(self.usable().count());
+        let homes = homes(self.popular.share(key), self.usable().count(), self.sight());
         let home = if homes > 1 { (self.uniform() * homes as f64) as usize } else { 0 };
         let suits = |s: &usize| {
             suits(key, home, self.backends[*s].info.id.0, self.backends[*s].info.power * self.warmth(*s))
@@ -371,6 +374,7 @@
         let (arrived, deadline) = (self.now, self.now.saturating_add(time_left));
         let held = Held { class, key, work, hinted, arrived, deadline, ..Held::default() };
         self.requests.insert(id, held);
+        key.iter().for_each(|key| self.popular.saw(*key));
         self.refresh_table();
         if self.probe_for(id) {
             self.awaiting.push(id);
--- a/crates/decision/tests/fleet.rs
+++ b/crates/decision/tests/fleet.rs
@@ -83,3 +83,23 @@
     let cold: usize = went[..30].iter().sum();
     assert!(cold >= 30, "{cold} of {} went to the thirty cold servers", went.iter().sum::<usize>());
 }
+
+/// A server that hangs was tried twice by each sidecar before it stayed away, and again after 0.3 s.
+#[test]
+fn one_time_out_is_lesson_enough_for_a_while() {
+    let mut d = one_of_many();
+    let (mut wasted, mut went) = (0, 0);
+    for id in 1000..1600 {
+        for s in sent(&d.wait(10_000).request(id, 0)) {
+            went += 1;
+            if s < 6 {
+                wasted += 1;
+                drop(d.end_after(id, 0, s, Outcome::TimedOut, 300_000, None));
+                d.event(Event::Expired { request: id });
+            } else {
+                drop(d.end_after(id, 0, s, Outcome::Served, 30_000, None));
+            }
+        }
+    }
+    assert!(went >= 500 && wasted <= 12, "{wasted} of {went} went to the six that hang");
+}
--- a/crates/decision/tests/keys.rs
+++ b/crates/decision/tests/keys.rs
@@ -29,7 +29,7 @@
 
 #[test]
 fn a_key_has_the_same_home_at_every_balancer_until_that_is_full() {
-    let settings = Settings { warm_keys: true, ..settings() };
+    let settings = Settings { warm_keys: true, balancers: 8, ..settings() };
     let mut homes = Vec::new();
     for seed in 1..5 {
         let mut d = Driver::new(settings.clone(), seed, 8);
@@ -165,20 +165,29 @@
 }
 
 /// At 60 servers a popular key is several servers' work: with one home for it, the same at a hundred
-/// sidecars, that home was crowded and turned slow while the others stood half idle.
+/// sidecars, that home was crowded and turned slow while the others stood half idle. With as many for
+/// every key, those asked for now and then were met nowhere while they were remembered.
 #[test]
-fn many_servers_share_a_popular_key() {
+fn many_servers_share_a_popular_key_and_others_keep_one_home() {
     let settings = Settings { warm_keys: true, balancers: 100, ..settings() };
     let mut d = Driver::new(settings, 3, 60);
-    let mut went = [0; 60];
-    for id in 1..=600 {
-        for s in sent(&keyed_request(d.wait(20_000), id, 77)) {
-            went[s as usize] += 1;
+    let (mut popular, mut rare) = ([0; 60], [0; 60]);
+    for id in 1..=1000 {
+        // A fifth of the requests are for one key, and one in fifty for another.
+        let key = if id % 5 == 0 {
+            77
+        } else if id % 50 == 1 {
+            78
+        } else {
+            1000 + id
+        };
+        for s in sent(&keyed_request(d.wait(20_000), id, key)) {
+            popular[s as usize] += usize::from(key == 77 && id > 200);
+            rare[s as usize] += usize::from(key == 78);
             drop(d.wait(30_000).end_after(id, 0, s, Outcome::Served, 30_000, held(1.0)));
         }
     }
-    let most = went.iter().max().copied().unwrap_or(0);
-    assert!(most < 600 * 2 / 5, "{most} of 600 went to one server");
-    let homes = went.iter().filter(|w| **w > 60).count();
-    assert!((3..=5).contains(&homes), "{homes} homes: the key is not met again while it is remembered");
+    let most = |went: &[usize]| went.iter().max().copied().unwrap_or(0);
+    assert!(most(&popular) <= 32, "{} of 160 went to one server", most(&popular));
+    assert!(most(&rare) >= 6, "only {} of 20 went to one server", most(&rare));
 }
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -7,6 +7,7 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
+pub mod aside;
 pub mod homes;
 pub mod usual;
 
