Watch discovery from the known version, and spread its calls over the fleet

Cause: Watcher::watch fetched the whole list before each first watch, two calls of which the first costs a line for every server, and Balancer::follow asks again within 4 s at most, whatever the fleet's size. Discovery answers a few calls a second in turn: at fifty, all of them wait too long.

--- a/crates/decision/src/policy.rs
+++ b/crates/decision/src/policy.rs
@@ -10,9 +10,9 @@
 pub use crate::state::{Balancer, Vessel};
 use rand_core::{RngCore, SeedableRng};
 use rand_xoshiro::Xoshiro128PlusPlus;
-use roseproxy_fleet::aside;
 use roseproxy_fleet::homes::{homes, suits};
 use roseproxy_fleet::usual::usual_load;
+use roseproxy_fleet::{aside, calls};
 
 /// Points that probing may cost; with the price of a probe it says how many a request affords.
 const PROBE_SPEND: f64 = 0.008;
@@ -182,9 +182,9 @@
         if !self.settings.must_subscribe || (news && waits) {
             return;
         }
-        (self.subscription, self.failed_calls) = (Subscription::Off, (self.failed_calls + 1).min(3));
-        let step = ((self.settings.ask_within / 20) << self.failed_calls) as f64;
-        let after = (step * self.uniform()) as Micros;
+        let window = calls::window(self.failed_calls, self.settings.balancers, self.settings.ask_within);
+        (self.subscription, self.failed_calls) = (Subscription::Off, self.failed_calls.saturating_add(1));
+        let after = (window * self.uniform()) as Micros;
         self.out.push(Action::Timer { token: LIST, after });
     }
 
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -8,6 +8,7 @@
 #![warn(missing_docs)]
 
 pub mod aside;
+pub mod calls;
 pub mod homes;
 pub mod usual;
 
--- a/crates/roseproxy/src/start.rs
+++ b/crates/roseproxy/src/start.rs
@@ -62,10 +62,12 @@
     // still sets the module asking.
     let known = config.known.as_ref();
     gateway.targets(roseproxy_decision::interface::Update::Complete, known.map_or(&[], |k| &k.targets));
+    // A list that was not read whole is no ground for hearing of changes only.
+    let version = known.filter(|k| k.unread == 0).map(|k| k.revision);
     let (mut reload, discovery) = Reload::new(config);
     spawn_local(gateway.clone().run_timers());
     spawn_local(gateway.clone().run_sweeps());
-    spawn_local(Watcher::new(gateway.clone(), discovery).run());
+    spawn_local(Watcher::new(gateway.clone(), discovery, version).run());
     let (counted, reloads) = (gateway.clone(), reload.counts());
     let counts = Rc::new(move || counters::print(&[counted.counts(), reloads.lines().to_vec()].concat()));
     let listener = Listener::new(gateway.clone(), clients, counts.clone());
--- a/crates/roseproxy/tests/sockets.rs
+++ b/crates/roseproxy/tests/sockets.rs
@@ -366,7 +366,7 @@
         let (socket, address) = port().await;
         let sidecar = sidecar(&[], 8).await;
         assert!(!sidecar.gateway.can_serve());
-        spawn_local(Watcher::new(sidecar.gateway.clone(), watch::channel(address).1).run());
+        spawn_local(Watcher::new(sidecar.gateway.clone(), watch::channel(address).1, None).run());
         let target: SocketAddr = "127.0.0.1:9".parse().expect("an address");
         let (mut stream, _) = socket.accept().await.expect("the sidecar connects");
         let fetch = message(&mut stream).await.expect("a request");
@@ -396,6 +396,20 @@
     });
 }
 
+/// The list as it was known last has a version: asking for the whole list first made a hundred sidecars that
+/// started together two hundred calls, and none of them got a list for the rest of the day.
+#[test]
+fn a_known_list_is_watched_without_a_fetch() {
+    scene(async {
+        let (socket, address) = port().await;
+        let sidecar = sidecar(&[], 8).await;
+        spawn_local(Watcher::new(sidecar.gateway.clone(), watch::channel(address).1, Some(41)).run());
+        let (mut stream, _) = socket.accept().await.expect("the sidecar connects");
+        let watch = message(&mut stream).await.expect("a request");
+        assert!(watch.starts_with("GET /registry/instances?stream=1&index=41 HTTP/1.1\r\n"), "{watch}");
+    });
+}
+
 /// A reload that names another discovery: it is asked at once for its whole list, the list in hand stays
 /// until then, and the flow that is open is answered as if nothing had been.
 #[test]
@@ -405,7 +419,7 @@
         let (socket, target) = port().await;
         let sidecar = sidecar(&[target], 8).await;
         let (mut reload, address) = Reload::new(Config { discovery: old_address, ..config() });
-        spawn_local(Watcher::new(sidecar.gateway.clone(), address).run());
+        spawn_local(Watcher::new(sidecar.gateway.clone(), address, None).run());
         let (mut stream, _) = old.accept().await.expect("the sidecar connects");
         message(&mut stream).await.expect("a request");
         let mut client = TcpStream::connect(sidecar.address).await.expect("connects");
@@ -452,7 +466,7 @@
     tokio::task::LocalSet::new().block_on(&runtime.expect("a runtime"), async {
         let (socket, address) = port().await;
         let sidecar = sidecar(&[], 8).await;
-        spawn_local(Watcher::new(sidecar.gateway.clone(), watch::channel(address).1).run());
+        spawn_local(Watcher::new(sidecar.gateway.clone(), watch::channel(address).1, None).run());
         // Connections and requests may cross the paused clock's jumps, so any number of tries is fine;
         // the silent one must end by itself.
         loop {
--- a/crates/transport/src/discovery.rs
+++ b/crates/transport/src/discovery.rs
@@ -26,14 +26,19 @@
     gateway: Rc<Gateway<N>>,
     /// Where discovery is; a reload may move it.
     address: watch::Receiver<SocketAddr>,
-    /// The version in hand; `None` until the whole list has been fetched, so that it is asked for.
+    /// The version in hand. `None` has the whole list asked for first, which is dear: every line is work
+    /// for discovery, and when all sidecars start at once it answers few calls a second.
     revision: Option<u64>,
 }
 
 impl<N: Network> Watcher<N> {
-    /// A watcher of discovery at this address.
-    pub fn new(gateway: Rc<Gateway<N>>, address: watch::Receiver<SocketAddr>) -> Watcher<N> {
-        Watcher { gateway, address, revision: None }
+    /// A watcher of discovery at this address, for a sidecar that has the list of this version in hand.
+    pub fn new(
+        gateway: Rc<Gateway<N>>,
+        address: watch::Receiver<SocketAddr>,
+        known: Option<u64>,
+    ) -> Watcher<N> {
+        Watcher { gateway, address, revision: known }
     }
 
     /// Watches whenever routing wants it, and tells it of failures; routing's timers, which the
