Let m count what comes in while figures are old, as far as a sidecar sees little

Seen: after servers are replaced or a zone returns, the new servers get 2 to 10 requests a second and stand idle at 0 or 1 request held, the old fast ones get 40 to 80; the figures that shares rest on are 3 to 7 s old, 50 to 100 stays.

The test sends 68 of 400 to the cold half without the change, 102 with it.

--- a/crates/decision/src/policy.rs
+++ b/crates/decision/src/policy.rs
@@ -11,7 +11,7 @@
 use rand_core::{RngCore, SeedableRng};
 use rand_xoshiro::Xoshiro128PlusPlus;
 use roseproxy_fleet::homes::{homes, suits};
-use roseproxy_fleet::usual::usual_load;
+use roseproxy_fleet::usual::{oldest, usual_load};
 use roseproxy_fleet::{aside, calls};
 
 /// Points that probing may cost; with the price of a probe it says how many a request affords.
@@ -265,7 +265,7 @@
         // stay has left again, so a longer age adds nothing.
         let all = self.settings.balancers as f64 * self.rate * age.min(self.stay) / 1e6;
         let each = all / self.backends.len().max(1) as f64;
-        let old = (age / self.stay).clamp(1.0, 1.0 / self.sight());
+        let old = (age / self.stay).clamp(1.0, oldest(self.sight()));
         // Where crossing zones costs, balancers fill their own zone first: only those of this zone fill it
         // with this one, and servers of another zone have what their own zone brings as load.
         let fullness = self.mean_load * self.mean_capacity + 1.0 + 2.0 * each;
--- a/crates/decision/tests/fleet.rs
+++ b/crates/decision/tests/fleet.rs
@@ -103,3 +103,26 @@
     }
     assert!(went >= 500 && wasted <= 12, "{wasted} of {went} went to the six that hang");
 }
+
+/// Figures ten seconds old were filled by as if a stay's worth of requests had come in since: slow servers
+/// got nothing from anybody, and the fast ones all of it.
+#[test]
+fn by_old_figures_all_get_what_they_can_do() {
+    let mut d = one_of_many();
+    (0..60).for_each(|s| drop(d.probed(s, Outcome::Served, held(1.0))));
+    d.wait(10_000_000);
+    let now = d.now;
+    let started = (0..30).map(|i| Server { started_at: Some(now), ..place(i) });
+    d.list(Update::Changes, &started.collect::<Vec<_>>());
+    let mut went = vec![0; 64];
+    for id in 1000..1400 {
+        // Without a key: no home.
+        let request = Request { id, class: 0, work: None, key: None, time_left: 1_200_000 };
+        for s in sent(&d.wait(10_000).event(Event::Request(request))) {
+            went[s as usize] += 1;
+            drop(d.end_after(id, 0, s, Outcome::Served, 30_000, None));
+        }
+    }
+    let cold: usize = went[..30].iter().sum();
+    assert!(cold >= 80, "{cold} of {} went to the thirty cold servers", went.iter().sum::<usize>());
+}
