--- a/crates/decision/src/learn.rs
+++ b/crates/decision/src/learn.rs
@@ -40,8 +40,9 @@
         let b = &self.backends[slot];
         let age = b.load_at.map_or(f64::INFINITY, |at| (self.now - at).max(0) as f64);
         let mean = self.mean_load * b.capacity;
-        mean + (b.load - mean) * if b.guessed { 1.0 } else { self.trust }
-            / (1.0 + age / (8.0 * self.stay * (1.0 + (1.0 - self.sight()) * b.load / b.capacity.max(0.1))))
+        // A crowd takes longer to leave, and the less one sees, the later it hears of that.
+        let lasts = 8.0 * self.stay * (1.0 + (1.0 - self.sight()) * b.load / b.capacity.max(0.1));
+        mean + (b.load - mean) * if b.guessed { 1.0 } else { self.trust } / (1.0 + age / lasts)
     }
 
     /// Share of its capacity that a server has at least; 1 once it is warm.
--- a/crates/decision/src/policy.rs
+++ b/crates/decision/src/policy.rs
@@ -250,12 +250,13 @@
     /// work for it.
     fn home_of(&mut self, key: Option<u64>) -> Option<usize> {
         let key = key.filter(|_| self.settings.warm_keys)?;
-        let homes = homes(self.popular.share(key), self.usable().count(), self.sight());
-        let home = if homes > 1 { (self.uniform() * homes as f64) as usize } else { 0 };
-        let suits = |s: &usize| {
-            suits(key, home, self.backends[*s].info.id.0, self.backends[*s].info.power * self.warmth(*s))
-        };
-        self.usable().max_by(|a, b| suits(a).total_cmp(&suits(b)))
+        let count = homes(self.popular.share(key), self.usable().count(), self.sight());
+        let home = if count > 1 { (self.uniform() * count as f64) as usize } else { 0 };
+        let ranked = self.usable().map(|s| {
+            let info = &self.backends[s].info;
+            (s, suits(key, home, info.id.0, info.power * self.warmth(s)))
+        });
+        ranked.max_by(|a, b| a.1.total_cmp(&b.1)).map(|(slot, _)| slot)
     }
 
     /// Fills `self.shares` for the servers in `set`, with figures of this age. A key's home counts as
@@ -374,7 +375,10 @@
         let (arrived, deadline) = (self.now, self.now.saturating_add(time_left));
         let held = Held { class, key, work, hinted, arrived, deadline, ..Held::default() };
         self.requests.insert(id, held);
-        key.iter().for_each(|key| self.popular.saw(*key));
+        // In a small fleet a key has one home whatever its share.
+        if let Some(key) = key.filter(|_| self.settings.warm_keys && self.sight() < 1.0) {
+            self.popular.saw(key);
+        }
         self.refresh_table();
         if self.probe_for(id) {
             self.awaiting.push(id);
@@ -513,7 +517,7 @@
             self.fill(&set, if fresh { 10_000.0 } else { self.stay }, home);
             find(&self.shares, draw).map(|i| set[i])
         };
-        // What the home of a popular key leaves over goes to one and the same server, drawn greedily by all
+        // What a key's home leaves over goes to one and the same server, drawn greedily by all
         // sidecars: the more of them there are, the more often it is drawn from the whole table instead.
         let (sight, left_over) = (self.sight(), first && home.is_some() && pick != home);
         if left_over && sight < 1.0 && self.uniform() >= sight {
--- a/crates/decision/tests/fleet.rs
+++ b/crates/decision/tests/fleet.rs
@@ -9,7 +9,7 @@
     let settings = Settings { balancers: 100, warm_keys: true, ..settings() };
     let mut d = Driver::new(settings, 3, 0);
     d.list(Update::Complete, &(0..60).map(place).collect::<Vec<_>>());
-    ask(&mut d, 1, 60, |_| 30_000);
+    ask(&mut d, 1, 60);
     d
 }
 
@@ -18,7 +18,7 @@
 }
 
 /// Asks with keys that all differ, 60 ms apart; how many went to each server.
-fn ask(d: &mut Driver, from: u64, count: u64, elapsed: impl Fn(u64) -> Micros) -> Vec<usize> {
+fn ask(d: &mut Driver, from: u64, count: u64) -> Vec<usize> {
     let mut went = vec![0; 64];
     for id in from..from + count {
         let request = Request {
@@ -30,13 +30,24 @@
         };
         for s in sent(&d.wait(30_000).event(Event::Request(request))) {
             went[s as usize] += 1;
-            let took = elapsed(s);
-            drop(d.wait(took).end_after(id, 0, s, Outcome::Served, took, None));
+            drop(d.wait(30_000).end_after(id, 0, s, Outcome::Served, 30_000, None));
         }
     }
     went
 }
 
+/// The first so many servers are probed and say that they hold this much.
+fn report(d: &mut Driver, servers: u64, holds: impl Fn(u64) -> f64) {
+    (0..servers).for_each(|s| drop(d.probed(s, Outcome::Served, held(holds(s)))));
+}
+
+/// The first thirty servers have just started.
+fn replace_half(d: &mut Driver) {
+    let now = d.now;
+    let started = (0..30).map(|i| Server { started_at: Some(now), ..place(i) });
+    d.list(Update::Changes, &started.collect::<Vec<_>>());
+}
+
 /// Two reports of crowded servers among twelve made a sidecar refuse, though all others stood idle.
 #[test]
 fn a_few_crowded_servers_do_not_shut_the_fleet() {
@@ -44,8 +55,8 @@
     let mut went = 0;
     for round in 0..40 {
         // Ten servers say one request, two say forty.
-        (0..12).for_each(|s| drop(d.probed(s, Outcome::Served, held(if s < 2 { 40.0 } else { 1.0 }))));
-        went += ask(&mut d, 1000 + round * 10, 10, |_| 30_000).iter().sum::<usize>();
+        report(&mut d, 12, |s| if s < 2 { 40.0 } else { 1.0 });
+        went += ask(&mut d, 1000 + round * 10, 10).iter().sum::<usize>();
     }
     assert!(went >= 380, "{went} of 400 were sent");
 }
@@ -57,9 +68,9 @@
     let mut d = one_of_many();
     let mut to_crowded = 0;
     for round in 0..20 {
-        (0..60).for_each(|s| drop(d.probed(s, Outcome::Served, held(if s < 12 { 20.0 } else { 1.0 }))));
+        report(&mut d, 60, |s| if s < 12 { 20.0 } else { 1.0 });
         d.wait(3_000_000);
-        to_crowded += ask(&mut d, 1000 + round * 5, 5, |_| 30_000)[..12].iter().sum::<usize>();
+        to_crowded += ask(&mut d, 1000 + round * 5, 5)[..12].iter().sum::<usize>();
     }
     assert!(to_crowded <= 12, "{to_crowded} of 100 went to the crowded fifth");
 }
@@ -69,14 +80,12 @@
 #[test]
 fn what_cold_homes_leave_over_is_spread() {
     let mut d = one_of_many();
-    let now = d.now;
-    let started = (0..30).map(|i| Server { started_at: Some(now), ..place(i) });
-    d.list(Update::Changes, &started.collect::<Vec<_>>());
+    replace_half(&mut d);
     let mut went = vec![0; 64];
     for round in 0..20 {
         // One looks a little better than the rest.
-        (0..60).for_each(|s| drop(d.probed(s, Outcome::Served, held(if s == 50 { 0.0 } else { 1.0 }))));
-        let some = ask(&mut d, 1000 + round * 10, 10, |_| 30_000);
+        report(&mut d, 60, |s| if s == 50 { 0.0 } else { 1.0 });
+        let some = ask(&mut d, 1000 + round * 10, 10);
         went.iter_mut().zip(some).for_each(|(all, some)| *all += some);
     }
     // They can do three tenths of what they will, and that is a fifth of the whole.
@@ -109,11 +118,9 @@
 #[test]
 fn by_old_figures_all_get_what_they_can_do() {
     let mut d = one_of_many();
-    (0..60).for_each(|s| drop(d.probed(s, Outcome::Served, held(1.0))));
+    report(&mut d, 60, |_| 1.0);
     d.wait(10_000_000);
-    let now = d.now;
-    let started = (0..30).map(|i| Server { started_at: Some(now), ..place(i) });
-    d.list(Update::Changes, &started.collect::<Vec<_>>());
+    replace_half(&mut d);
     let mut went = vec![0; 64];
     for id in 1000..1400 {
         // Without a key: no home.
--- a/crates/fleet/src/calls.rs
+++ b/crates/fleet/src/calls.rs
@@ -5,17 +5,17 @@
 /// Time (microseconds) by which each sidecar widens the window that first calls are spread over, and the
 /// most that it widens that of later ones.
 const EACH: (f64, f64) = (50e3, 350e3);
-/// Parts of the time in which an instance must ask: the windows of a small fleet begin with the first,
-/// the first call of any is out within the second, and later ones, which have four times as long, within
+/// Parts of the time in which an instance must ask: the first window of a small fleet is the first of them,
+/// the first call of any fleet is out within the second, and later ones, which have four times as long, within
 /// the third.
-const PARTS: (f64, f64, f64) = (0.05, 0.9, 3.5);
+const PARTS: (f64, f64, f64) = (0.1, 0.9, 3.5);
 
 /// The window (microseconds) in which to call next, after so many failures in a row. A call is due at an
 /// even draw from it. It widens with failures and with the fleet, and stays within what an instance that
 /// must ask every `ask_within` is allowed.
 pub fn window(failed: u32, sidecars: usize, ask_within: i64) -> f64 {
     let within = ask_within.max(0) as f64;
-    let few = within * PARTS.0 * f64::from(2 << failed.min(2));
+    let few = within * PARTS.0 * f64::from(1 << failed.min(2));
     let many = sidecars as f64 * (EACH.0 * f64::from(1 << failed.min(8))).min(EACH.1);
     let most = within * if failed == 0 { PARTS.1 } else { PARTS.2 };
     few.max(many.min(most))
