--- a/crates/decision/src/policy.rs
+++ b/crates/decision/src/policy.rs
@@ -10,7 +10,7 @@
 pub use crate::state::{Balancer, Vessel};
 use rand_core::{RngCore, SeedableRng};
 use rand_xoshiro::Xoshiro128PlusPlus;
-use roseproxy_fleet::homes::{homes, suits};
+use roseproxy_fleet::homes::Place;
 use roseproxy_fleet::usual::{oldest, usual_load};
 use roseproxy_fleet::{aside, calls};
 
@@ -250,13 +250,16 @@
     /// work for it.
     fn home_of(&mut self, key: Option<u64>) -> Option<usize> {
         let key = key.filter(|_| self.settings.warm_keys)?;
-        let count = homes(self.popular.share(key), self.usable().count(), self.sight());
-        let home = if count > 1 { (self.uniform() * count as f64) as usize } else { 0 };
-        let ranked = self.usable().map(|s| {
-            let info = &self.backends[s].info;
-            (s, suits(key, home, info.id.0, info.power * self.warmth(s)))
-        });
-        ranked.max_by(|a, b| a.1.total_cmp(&b.1)).map(|(slot, _)| slot)
+        let place = |s: usize| {
+            let b = &self.backends[s];
+            Place { id: b.info.id.0, weight: b.info.power * self.warmth(s), capacity: b.capacity }
+        };
+        let mut places: Vec<Place> = self.usable().map(place).collect();
+        places.sort_unstable_by_key(|p| p.id);
+        let sight = self.sight();
+        let draw = if sight < 1.0 { self.uniform() } else { 0.0 };
+        let home = self.homes.home(key, &places, sight, self.now, draw)?;
+        self.slots.get(&ServerId(home)).copied()
     }
 
     /// Fills `self.shares` for the servers in `set`, with figures of this age. A key's home counts as
@@ -377,7 +380,7 @@
         self.requests.insert(id, held);
         // In a small fleet a key has one home whatever its share.
         if let Some(key) = key.filter(|_| self.settings.warm_keys && self.sight() < 1.0) {
-            self.popular.saw(key);
+            self.homes.saw(key);
         }
         self.refresh_table();
         if self.probe_for(id) {
--- a/crates/decision/src/state.rs
+++ b/crates/decision/src/state.rs
@@ -3,7 +3,7 @@
 use crate::interface::{Action, ClassId, Micros, Outcome, Readiness, RequestId, Server, ServerId, Settings};
 use rand_core::RngCore;
 use rand_xoshiro::Xoshiro128PlusPlus;
-use roseproxy_fleet::homes::Popularity;
+use roseproxy_fleet::homes::Homes;
 use std::collections::HashMap;
 
 /// Trouble (smoothed share of bad outcomes) at which a server becomes suspect.
@@ -161,8 +161,8 @@
     pub(crate) requests: HashMap<RequestId, Held>,
     /// Requests that await probes, oldest first.
     pub(crate) awaiting: Vec<RequestId>,
-    /// How popular the keys are that it is asked for.
-    pub(crate) popular: Popularity,
+    /// Where the keys go first that it is asked for.
+    pub(crate) homes: Homes,
     /// Smoothed work of each class.
     pub(crate) class_work: Vec<f64>,
     /// Own requests a second, smoothed, and when that was.
@@ -246,7 +246,7 @@
             kinds: HashMap::new(),
             requests: HashMap::new(),
             awaiting: Vec::new(),
-            popular: Popularity::default(),
+            homes: Homes::default(),
             class_work: Vec::new(),
             rate: 0.0,
             rate_at: now,
