--- a/crates/fleet/src/homes.rs
+++ b/crates/fleet/src/homes.rs
@@ -101,25 +101,32 @@
         keys.sort_unstable_by(|a, b| b.1.total_cmp(&a.1).then(a.0.cmp(&b.0)));
         let all: f64 = keys.iter().map(|(_, count)| count).sum::<f64>().max(1.0);
         let mut loads: HashMap<u64, f64> = HashMap::new();
-        let mut shares: Vec<(u64, f64, Vec<(Place, f64)>)> = Vec::new();
-        for (key, count) in keys {
-            let homes = self.ranked(key, places, sight);
-            shares.push((key, count / all, homes.into_iter().map(|p| (p, 0.0)).collect()));
-        }
+        let mut filled: Vec<Filled> = keys
+            .into_iter()
+            .map(|(key, count)| {
+                let homes = self.ranked(key, places, sight).into_iter().map(|p| (p, 0.0)).collect();
+                Filled { key, share: count / all, homes }
+            })
+            .collect();
         for _ in 0..ROUNDS {
-            for (_, share, homes) in &mut shares {
-                homes.iter().for_each(|(p, part)| *loads.entry(p.id).or_default() -= part);
-                level(homes, *share, &loads);
-                homes.iter().for_each(|(p, part)| *loads.entry(p.id).or_default() += part);
+            for f in &mut filled {
+                f.homes.iter().for_each(|(p, part)| *loads.entry(p.id).or_default() -= part);
+                level(&mut f.homes, f.share, &loads);
+                f.homes.iter().for_each(|(p, part)| *loads.entry(p.id).or_default() += part);
             }
         }
-        self.parts = shares
-            .into_iter()
-            .map(|(key, _, homes)| (key, homes.into_iter().map(|(p, part)| (p.id, part)).collect()))
-            .collect();
+        let parts = |f: Filled| (f.key, f.homes.into_iter().map(|(p, part)| (p.id, part)).collect());
+        self.parts = filled.into_iter().map(parts).collect();
     }
 }
 
+/// A key with its share of the requests, and its homes with the part of that which each gets.
+struct Filled {
+    key: u64,
+    share: f64,
+    homes: Vec<(Place, f64)>,
+}
+
 /// Fills a key's share into its homes up to one level of load for each unit of capacity.
 fn level(homes: &mut [(Place, f64)], share: f64, loads: &HashMap<u64, f64>) {
     let load = |p: &Place| loads.get(&p.id).copied().unwrap_or(0.0);
