--- a/crates/decision/src/policy.rs
+++ b/crates/decision/src/policy.rs
@@ -10,7 +10,7 @@
 pub use crate::state::{Balancer, Vessel};
 use rand_core::{RngCore, SeedableRng};
 use rand_xoshiro::Xoshiro128PlusPlus;
-use roseproxy_fleet::homes::Place;
+use roseproxy_fleet::homes::{Fleet, Place};
 use roseproxy_fleet::usual::{oldest, usual_load};
 use roseproxy_fleet::{aside, calls};
 
@@ -256,9 +256,11 @@
         };
         let mut places: Vec<Place> = self.usable().map(place).collect();
         places.sort_unstable_by_key(|p| p.id);
-        let sight = self.sight();
-        let draw = if sight < 1.0 { self.uniform() } else { 0.0 };
-        let home = self.homes.home(key, &places, sight, self.now, draw)?;
+        // Half of what may come to a cold server: the rest is for bursts, repeats and probes.
+        let bound = (self.settings.fall_multiple / 2.0).max(1.0);
+        let fleet = Fleet { places: &places, sight: self.sight(), bound };
+        let draw = if fleet.sight < 1.0 { self.uniform() } else { 0.0 };
+        let home = self.homes.home(key, fleet, self.now, draw)?;
         self.slots.get(&ServerId(home)).copied()
     }
 
@@ -298,7 +300,9 @@
             if none {
                 v.cap = f64::from(u8::from(self.backends[slot].ready()));
             }
-            if self.warmth(slot) < 1.0 {
+            // In a large fleet `fleet::homes` bounds what a home gets, which is a part of each of its keys.
+            let parted = home_at == Some(slot) && self.sight() < 1.0;
+            if self.warmth(slot) < 1.0 && !parted {
                 // All balancers do alike, and a cold server falls over when all send it too much.
                 v.cap *= v.capacity / total * (self.settings.fall_multiple / 4.0).min(1.0);
             }
