Draw by shares in one place, and keep what is left over instead of deriving it at each draw

Need: reading the change again. homes.rs drew by parts with a loop of its own beside the module's pick, its test with a third, and the random number from 0 to 1 was worked out in three places. Filled repeated its map key and summed its parts at every draw. Three functions were public that only their own file calls.

Change: fleet::draw has uniform and pick for module, homes and tests; what is left of a key is one more share at the end, worked out when the homes are filled.

Noted as open: no test guards the draw for what a home leaves over since cold homes are uncapped.

--- a/crates/decision/src/policy.rs
+++ b/crates/decision/src/policy.rs
@@ -6,10 +6,11 @@
 
 use crate::interface::*;
 use crate::learn::NEWS;
-use crate::state::{pick as find, Attempt, Backend, Held, Subscription, SUSPECT};
+use crate::state::{Attempt, Backend, Held, Subscription, SUSPECT};
 pub use crate::state::{Balancer, Vessel};
 use rand_core::{RngCore, SeedableRng};
 use rand_xoshiro::Xoshiro128PlusPlus;
+use roseproxy_fleet::draw::pick as find;
 use roseproxy_fleet::homes::{Fleet, Place};
 use roseproxy_fleet::usual::{oldest, usual_load};
 use roseproxy_fleet::{aside, calls};
@@ -431,7 +432,7 @@
         let mut probed = Vec::new();
         for _ in 0..2 * afford as usize {
             let draw = self.uniform();
-            let drawn = find(&self.table, draw).filter(|s| !probed.contains(s));
+            let drawn = find(self.table.iter().copied(), draw).filter(|s| !probed.contains(s));
             if let Some(slot) = drawn.filter(|_| probed.len() < afford as usize) {
                 self.probe(slot);
                 probed.push(slot);
@@ -519,17 +520,17 @@
             set.extend(0..self.backends.len());
         }
         let mut pick = if first && set.is_empty() {
-            find(&self.table, draw)
+            find(self.table.iter().copied(), draw)
         } else {
             self.fill(&set, if fresh { 10_000.0 } else { self.stay }, home);
-            find(&self.shares, draw).map(|i| set[i])
+            find(self.shares.iter().copied(), draw).map(|i| set[i])
         };
         // What a key's home leaves over goes to one and the same server, drawn greedily by all
         // sidecars: the more of them there are, the more often it is drawn from the whole table instead.
         let (sight, left_over) = (self.sight(), first && home.is_some() && pick != home);
         if left_over && sight < 1.0 && self.uniform() >= sight {
             let draw = self.uniform();
-            pick = find(&self.table, draw);
+            pick = find(self.table.iter().copied(), draw);
         }
         let left = (deadline - self.now) as f64;
         // Clients ask again at once and a crowded server turns slow for long: a doubt is no benefit.
@@ -552,7 +553,7 @@
         if self.capacity_of(&room) > ROOM.0 * self.capacity_of(&all) {
             self.fill(&room, self.stay, None);
             let draw = self.uniform();
-            (pick, refuse) = (find(&self.shares, draw).map(|i| room[i]), false);
+            (pick, refuse) = (find(self.shares.iter().copied(), draw).map(|i| room[i]), false);
         }
         let forecast = pick.map_or(0.0, |slot| self.forecast(slot, work));
         let Some(slot) = pick else {
--- a/crates/decision/src/state.rs
+++ b/crates/decision/src/state.rs
@@ -1,8 +1,8 @@
 //! What the policy remembers. Types only; every decision stands in `policy.rs`.
 
 use crate::interface::{Action, ClassId, Micros, Outcome, Readiness, RequestId, Server, ServerId, Settings};
-use rand_core::RngCore;
 use rand_xoshiro::Xoshiro128PlusPlus;
+use roseproxy_fleet::draw;
 use roseproxy_fleet::homes::Homes;
 use std::collections::HashMap;
 
@@ -20,18 +20,6 @@
     pub cap: f64,
 }
 
-/// Where a number from 0 to 1 falls among shares that sum to 1; `None` where all are 0.
-pub(crate) fn pick(shares: &[f64], mut at: f64) -> Option<usize> {
-    let mut last = None;
-    for (i, share) in shares.iter().enumerate().filter(|(_, s)| **s > 0.0) {
-        (last, at) = (Some(i), at - share);
-        if at < 0.0 {
-            break;
-        }
-    }
-    last
-}
-
 /// A server as this instance knows it.
 #[derive(Debug, Default)]
 pub(crate) struct Backend {
@@ -200,7 +188,7 @@
 impl Balancer {
     /// A random number from 0 to 1.
     pub(crate) fn uniform(&mut self) -> f64 {
-        (self.rng.next_u64() >> 11) as f64 / (1_u64 << 53) as f64
+        draw::uniform(&mut self.rng)
     }
 
     /// How much of what happens to the servers it sees by itself.
--- a/crates/decision/tests/keys.rs
+++ b/crates/decision/tests/keys.rs
@@ -168,7 +168,7 @@
 /// sidecars, that home was crowded and turned slow while the others stood half idle. With as many for
 /// every key, those asked for now and then were met nowhere while they were remembered.
 #[test]
-fn many_servers_share_a_popular_key_and_others_keep_one_home() {
+fn many_servers_share_a_popular_key_and_others_keep_few_homes() {
     let settings = Settings { warm_keys: true, balancers: 100, ..settings() };
     let mut d = Driver::new(settings, 3, 60);
     let (mut popular, mut rare) = ([0; 60], [0; 60]);
--- a/crates/fleet/src/homes.rs
+++ b/crates/fleet/src/homes.rs
@@ -1,7 +1,8 @@
 //! Key homes: the servers that all sidecars send a key to first, so that it is met there while it is
 //! still remembered, and how much of the key each of them gets.
 
-use rand_core::{RngCore, SeedableRng};
+use crate::draw::{pick, uniform};
+use rand_core::SeedableRng;
 use rand_xoshiro::Xoshiro128PlusPlus;
 use std::collections::HashMap;
 
@@ -25,7 +26,7 @@
 const ROUNDS: usize = 3;
 
 /// A server that may be a home.
-#[derive(Clone, Copy, Debug, Default)]
+#[derive(Clone, Copy, Debug)]
 pub struct Place {
     /// Its id, the same at all sidecars.
     pub id: u64,
@@ -71,7 +72,7 @@
     }
 
     /// The key's share of the requests, as far as one knows.
-    pub fn share(&self, key: u64) -> f64 {
+    fn share(&self, key: u64) -> f64 {
         self.counts.get(&key).copied().unwrap_or(0.0).max(1.0) / (self.all + GUESS)
     }
 
@@ -86,20 +87,17 @@
         let (mut parts, mut left) = (Vec::new(), 0.0);
         if let Some(filled) = self.filled.get(&key) {
             parts.extend(filled.homes.iter().filter(|(p, _)| there(p)));
-            left = filled.share - filled.homes.iter().map(|(_, part)| part).sum::<f64>();
+            left = filled.left;
         }
         if parts.is_empty() {
             // Not met before, or all its homes have left since.
             parts.extend(self.ranked(key, fleet).into_iter().map(|p| (p, p.capacity)));
             left = 0.0;
         }
-        let mut at = draw * (parts.iter().map(|(_, part)| part).sum::<f64>() + left.max(0.0));
-        let drawn = parts.iter().find(|(_, part)| {
-            at -= part;
-            at < 0.0
-        });
-        // Rounding must leave nobody without a home who has one.
-        drawn.or(parts.last().filter(|_| left < 1e-9)).map(|(p, _)| p.id)
+        let shares = || parts.iter().map(|(_, part)| *part).chain([left]);
+        // Where its part is in homes that have left, a full one is better than none.
+        let drawn = pick(shares(), draw * shares().sum::<f64>()).map_or(parts.last(), |i| parts.get(i));
+        drawn.map(|(p, _)| p.id)
     }
 
     /// The servers that the key suits best, as many as its homes.
@@ -122,30 +120,31 @@
         let capacity = fleet.places.iter().map(|p| p.capacity).sum::<f64>();
         let most = fleet.bound / capacity.max(1e-9);
         let mut loads: HashMap<u64, f64> = HashMap::new();
-        let mut filled: Vec<Filled> = keys
-            .into_iter()
-            .map(|(key, _)| {
-                let homes = self.ranked(key, fleet).into_iter().map(|p| (p, 0.0)).collect();
-                Filled { key, share: self.share(key), homes }
-            })
-            .collect();
+        let empty = |(key, _)| {
+            let homes = self.ranked(key, fleet).into_iter().map(|p| (p, 0.0)).collect();
+            (key, Filled { homes, left: self.share(key) })
+        };
+        let mut filled: Vec<(u64, Filled)> = keys.into_iter().map(empty).collect();
         for _ in 0..ROUNDS {
-            for f in &mut filled {
-                f.homes.iter().for_each(|(p, part)| *loads.entry(p.id).or_default() -= part);
-                level(&mut f.homes, f.share, &loads, most);
-                f.homes.iter().for_each(|(p, part)| *loads.entry(p.id).or_default() += part);
+            for (key, Filled { homes, left }) in &mut filled {
+                let share = self.share(*key);
+                homes.iter().for_each(|(p, part)| *loads.entry(p.id).or_default() -= part);
+                level(homes, share, &loads, most);
+                homes.iter().for_each(|(p, part)| *loads.entry(p.id).or_default() += part);
+                let over = share - homes.iter().map(|(_, part)| part).sum::<f64>();
+                // Rounding must leave nobody without a home who has one.
+                *left = if over < 1e-9 { 0.0 } else { over };
             }
         }
-        self.filled = filled.into_iter().map(|f| (f.key, f)).collect();
+        self.filled = filled.into_iter().collect();
     }
 }
 
-/// A key with its share of the requests, and its homes with the part of that which each gets.
+/// A key's homes with the part of the requests which each gets of it, and what is left over.
 #[derive(Debug)]
 struct Filled {
-    key: u64,
-    share: f64,
     homes: Vec<(Place, f64)>,
+    left: f64,
 }
 
 /// Fills a key's share into its homes up to one level of load for each unit of capacity, and to `most`.
@@ -167,7 +166,7 @@
 
 /// Homes that a key with this share of the requests has among so many servers; one in a fleet so small
 /// that a sidecar sees all of it.
-pub fn homes(share: f64, servers: usize, sight: f64) -> usize {
+fn homes(share: f64, servers: usize, sight: f64) -> usize {
     let homes = (share * servers as f64 / PART * (1.0 - sight)).ceil().max(1.0);
     let spare = (SPARE * (1.0 - sight)).round();
     ((homes + spare) as usize).clamp(1, servers.max(1))
@@ -176,9 +175,10 @@
 /// How well a server suits a key; those with the greatest figures are its homes (weighted rendezvous: the
 /// same at all sidecars, and when a server leaves only its own keys move). Who thinks a key less popular
 /// uses fewer of the same homes.
-pub fn suits(key: u64, server: u64, weight: f64) -> f64 {
-    let mixed = Xoshiro128PlusPlus::seed_from_u64(key ^ server).next_u64() >> 11;
-    ((mixed as f64 + 1.0) / (1_u64 << 53) as f64).ln() / weight
+fn suits(key: u64, server: u64, weight: f64) -> f64 {
+    let mixed = uniform(&mut Xoshiro128PlusPlus::seed_from_u64(key ^ server));
+    // Never 0, whose logarithm is endless.
+    (mixed + f64::EPSILON / 2.0).ln() / weight
 }
 
 #[cfg(test)]
@@ -225,13 +225,8 @@
         let popular: Vec<f64> = (1..=keys).map(|rank| 1.0 / rank as f64).collect();
         let all: f64 = popular.iter().sum();
         let mut rng = Xoshiro128PlusPlus::seed_from_u64(5);
-        let mut uniform = || (rng.next_u64() >> 11) as f64 / (1_u64 << 53) as f64;
         let mut drawn = || {
-            let mut at = uniform() * all;
-            let rank = popular.iter().position(|p| {
-                at -= p;
-                at < 0.0
-            });
+            let rank = pick(popular.iter().copied(), uniform(&mut rng) * all);
             rank.unwrap_or(0) as u64 * 7919
         };
         let mut loads = vec![0.0; places.len()];
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -9,6 +9,7 @@
 
 pub mod aside;
 pub mod calls;
+pub mod draw;
 pub mod homes;
 pub mod usual;
 
