--- a/crates/platform/src/request.rs
+++ b/crates/platform/src/request.rs
@@ -14,10 +14,15 @@
 pub const REQUEST_CLASS: HeaderName = HeaderName::from_static("request-class");
 /// Whose request it is.
 pub const TENANT: HeaderName = HeaderName::from_static("tenant");
+/// By what servers tell a repeat of keyed work from new work.
+pub const IDEMPOTENCY_KEY: HeaderName = HeaderName::from_static("idempotency-key");
 /// How long the sender waits, in seconds.
 pub const REQUEST_TIMEOUT: HeaderName = HeaderName::from_static("request-timeout");
 /// Headers that say what a request is; each may stand once.
-const IDENTIFYING: [HeaderName; 5] = [HOST, REQUEST_ID, REQUEST_CLASS, TENANT, REQUEST_TIMEOUT];
+const IDENTIFYING: [HeaderName; 6] =
+    [HOST, REQUEST_ID, REQUEST_CLASS, TENANT, IDEMPOTENCY_KEY, REQUEST_TIMEOUT];
+/// Longest name of a request or of its work (bytes).
+const LONGEST_NAME: usize = 256;
 /// Longest wait believed (ms): a larger figure would hold memory for a client long gone.
 const LONGEST_WAIT: f64 = 60_000.0;
 
@@ -79,9 +84,16 @@
         if parts.method != method {
             return Err(malformed(StatusCode::METHOD_NOT_ALLOWED, "the class goes by another method"));
         }
-        match parts.headers.get(REQUEST_ID) {
-            Some(id) if !id.is_empty() && id.len() <= 256 => {}
-            _ => return Err(bad("no Request-Id")),
+        let named = |header| {
+            let name = parts.headers.get(header).map_or(0, HeaderValue::len);
+            (1..=LONGEST_NAME).contains(&name)
+        };
+        if !named(REQUEST_ID) {
+            return Err(bad("no Request-Id"));
+        }
+        // Without one, no server could drop the repeat that the class allows.
+        if matches!(self.classes[class].effect, Effect::Keyed { .. }) && !named(IDEMPOTENCY_KEY) {
+            return Err(bad("no Idempotency-Key"));
         }
         let time_left = match parts.headers.get(REQUEST_TIMEOUT) {
             None => self.classes[class].give_up as f64 / 1000.0,
@@ -124,7 +136,7 @@
     /// Takes what passes on of a request read whole.
     pub fn new(parts: &Parts, body: Bytes) -> Passing {
         let path = parts.uri.path_and_query().map_or("/", |p| p.as_str()).to_owned();
-        let pass = [HOST, REQUEST_ID, REQUEST_CLASS, TENANT];
+        let pass = [HOST, REQUEST_ID, REQUEST_CLASS, TENANT, IDEMPOTENCY_KEY];
         let mut headers: Vec<_> =
             pass.into_iter().filter_map(|n| parts.headers.get(&n).map(|v| (n, v.clone()))).collect();
         // HTTP/1.1 wants a Host, whatever the client sent.
--- a/crates/roseproxy/tests/protocol.rs
+++ b/crates/roseproxy/tests/protocol.rs
@@ -22,7 +22,9 @@
             "report": {"how": "on_probe", "names": ["active", "waiting", "cpu"]},
             "request_classes": [
                 {"aim": 600000, "effect": "retryable", "give_up": 1500000, "name": "quote", "worth": 2.0},
-                {"aim": 500000, "effect": "fragile", "give_up": 2000000, "name": "place-order", "worth": 8.0}]}})
+                {"aim": 500000, "effect": "fragile", "give_up": 2000000, "name": "place-order", "worth": 8.0},
+                {"aim": 600000, "effect": "dedup", "give_up": 2000000, "group": "cell", "name": "stock-update",
+                    "window": 4000000, "worth": 1.0}]}})
 }
 
 fn member(id: &str, phase: &str) -> Value {
@@ -64,6 +66,11 @@
         let request = Request::get("/quote").header("Request-Id", "1").header("Request-Timeout", timeout);
         assert_eq!(status(request), 400, "{timeout}");
     }
+    let keyed = || Request::post("/stock-update").header("Request-Id", "1");
+    assert_eq!(read(keyed().header("Idempotency-Key", "5c0f")).expect("good").class, 2);
+    assert_eq!(status(keyed()), 400, "its repeat could not be dropped");
+    assert_eq!(status(keyed().header("Idempotency-Key", "")), 400);
+    assert_eq!(status(keyed().header("Idempotency-Key", "5c0f").header("Idempotency-Key", "5c10")), 400);
     let mut headers = HeaderMap::new();
     headers.insert("content-length", "65537".parse().expect("a value"));
     assert!(oversized(&headers));
--- a/crates/roseproxy/tests/sockets.rs
+++ b/crates/roseproxy/tests/sockets.rs
@@ -38,7 +38,9 @@
             "report": {"how": "on_probe", "names": ["active"]},
             "request_classes": [
                 {"aim": 60000000, "effect": "retryable", "give_up": 60000000, "name": "quote", "worth": 2.0},
-                {"aim": 60000000, "effect": "fragile", "give_up": 60000000, "name": "place-order", "worth": 8.0}]}});
+                {"aim": 60000000, "effect": "fragile", "give_up": 60000000, "name": "place-order", "worth": 8.0},
+                {"aim": 60000000, "effect": "dedup", "give_up": 60000000, "group": "cell", "name": "stock-update",
+                    "window": 4000000, "worth": 1.0}]}});
     Config::read(&text.to_string(), |_| None).expect("a good configuration")
 }
 
@@ -146,7 +148,29 @@
             first.contains("request-id: 9b1f03aa\r\n") && first.contains("request-timeout: 49.9"),
             "{first}"
         );
-        assert!(second.contains("request-id: aa\r\n"));
+        assert!(second.contains("request-id: aa\r\n") && !second.contains("idempotency-key"));
+    });
+}
+
+/// Servers drop a repeat of keyed work by its key and by nothing else.
+#[test]
+fn the_key_of_keyed_work_passes_unchanged() {
+    scene(async {
+        let (socket, target) = port().await;
+        let sidecar = sidecar(&[target], 8).await;
+        let mut client = TcpStream::connect(sidecar.address).await.expect("connects");
+        let served = spawn_local(async move {
+            let (mut stream, _) = socket.accept().await.expect("the sidecar connects");
+            let got = message(&mut stream).await.expect("a request");
+            stream.write_all(OK.as_bytes()).await.expect("written");
+            got
+        });
+        let key = "Idempotency-Key: 5c0f6e1a2b3d4c59a8b7c6d5e4f30211\r\nContent-Length";
+        let answer =
+            ask(&mut client, &request("stock-update", "ab", "sold=1").replace("Content-Length", key)).await;
+        assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
+        let got = served.await.expect("no panic");
+        assert!(got.contains("idempotency-key: 5c0f6e1a2b3d4c59a8b7c6d5e4f30211\r\n"), "{got}");
     });
 }
 
