--- a/crates/decision/src/policy.rs
+++ b/crates/decision/src/policy.rs
@@ -12,23 +12,28 @@
 use rand_xoshiro::Xoshiro128PlusPlus;
 use roseproxy_fleet::draw::pick as find;
 use roseproxy_fleet::homes::{Fleet, Place};
-use roseproxy_fleet::usual::{oldest, usual_load};
+use roseproxy_fleet::usual::usual_load;
 use roseproxy_fleet::{aside, calls};
 
-/// Points that probing may cost; with the price of a probe it says how many a request affords.
-const PROBE_SPEND: f64 = 0.008;
+/// Points that probing may cost, where only probes bring reports and where every answer brings one, which a
+/// probe tells no sooner; with the price of a probe it says how many a request affords.
+const PROBE_SPEND: [f64; 2] = [0.008, 0.0005];
 /// How much fuller than the fleet the own zone must be, for each point that crossing costs.
-const ZONE_COST: f64 = 22.0;
+const ZONE_COST: f64 = 2.0;
+/// For how many times their age figures have others' requests come in: a report was old when it came, and
+/// half of its life is still ahead.
+const INTERVAL: f64 = 4.0;
 /// Weight of one outcome in a server's trouble.
 const GAIN: f64 = 0.3;
 /// First and longest time that a suspect server rests before its trial.
 const REST: (Micros, Micros) = (300_000, 5_000_000);
 /// Second copies and repeats that each request earns, and how many can be saved up.
 const COPIES: (f64, f64) = (0.15, 2.0);
-/// How many times the usual miss a forecast must stay under the aim.
-const DOUBT: f64 = 1.5;
-/// How fast refusals grow stricter with the share of own answers that come late.
-const LATE: f64 = 6.0;
+/// How many times the usual miss a forecast must stay under the aim, where a refusal can say when to come
+/// back, and where it cannot: there what is refused is lost, and a likely late answer is worth more.
+const DOUBT: [f64; 2] = [1.5, -1.0];
+/// How fast refusals grow stricter with the share of own answers that come late, in these two cases.
+const LATE: [f64; 2] = [6.0, 2.0];
 /// Reported load, for each unit of stated size, from which on a time-out tells of a full fleet.
 const BUSY: f64 = 0.5;
 /// Time (microseconds) in which most of what was learnt of late answers is forgotten.
@@ -272,14 +277,10 @@
         // stay has left again, so a longer age adds nothing.
         let all = self.settings.balancers as f64 * self.rate * age.min(self.stay) / 1e6;
         let each = all / self.backends.len().max(1) as f64;
-        let old = (age / self.stay).clamp(1.0, oldest(self.sight()));
-        // Where crossing zones costs, balancers fill their own zone first: only those of this zone fill it
-        // with this one, and servers of another zone have what their own zone brings as load.
+        let old = (INTERVAL * age / self.stay).max(1.0);
         let fullness = self.mean_load * self.mean_capacity + 1.0 + 2.0 * each;
-        let crossing = ZONE_COST * self.settings.prices.cross_zone * fullness;
-        let home = if crossing > 0.0 && self.afford() < 2.0 { self.home } else { 1.0 };
-        let abroad = crossing + if home < 1.0 { 2.0 * each } else { 0.0 };
-        let m = if home_at.is_some() { 2.0 } else { (each * old * home * set.len() as f64).max(2.0) };
+        let abroad = ZONE_COST * self.settings.prices.cross_zone * fullness;
+        let m = if home_at.is_some() { 2.0 } else { (each * old * set.len() as f64).max(2.0) };
         let mut vessels = std::mem::take(&mut self.vessels);
         vessels.clear();
         let mut total = 0.0;
@@ -323,7 +324,6 @@
         self.faded_at = Some(now);
         self.lateness *= (-passed / FORGET).exp();
         let (mut age, mut known) = (0.0, Vec::new());
-        let (mut near, mut ready) = (0.0, 1e-9);
         let overdue = 4.0 * self.stay + 100_000.0;
         // An idle connection is closed once keeping it has cost as much as opening it again would.
         let Prices { connection, handshake, .. } = self.settings.prices;
@@ -344,10 +344,6 @@
             let b = &mut self.backends[slot];
             let kind = self.kinds.get(&b.info.kind).map_or(self.pace, |k| k.pace);
             b.capacity = b.info.power * (kind + b.pace).exp() * warmth;
-            let usable = b.usable();
-            ready += if usable { b.capacity } else { 0.0 };
-            near += if usable && !self.far(slot) { self.backends[slot].capacity } else { 0.0 };
-            let b = &self.backends[slot];
             if let (Readiness::Ready, Some(at), false) = (b.info.readiness, b.load_at, b.guessed) {
                 age += (now - at) as f64;
                 known.push((b.load, b.capacity));
@@ -358,7 +354,6 @@
             self.mean_load = usual_load(&known, self.sight());
             (self.mean_capacity, age) = (known.iter().map(|(_, c)| c).sum::<f64>() / count, age / count);
         }
-        self.home = if near > 0.0 { near / ready } else { 1.0 };
         let all: Vec<usize> = (0..self.backends.len()).collect();
         self.fill(&all, if known.is_empty() { self.stay } else { age }, None);
         std::mem::swap(&mut self.table, &mut self.shares);
@@ -399,7 +394,8 @@
 
     /// Probes that a request affords; from 2 on they are awaited, and their figures are fresh.
     fn afford(&self) -> f64 {
-        (PROBE_SPEND / self.settings.prices.probe.max(1e-6)).min(3.0)
+        let spend = PROBE_SPEND[usize::from(self.settings.inline_reports)];
+        (spend / self.settings.prices.probe.max(1e-6)).min(3.0)
     }
 
     /// Probes what a request affords; true when it should await the answers. Where probes are too
@@ -534,7 +530,8 @@
         }
         let left = (deadline - self.now) as f64;
         // Clients ask again at once and a crowded server turns slow for long: a doubt is no benefit.
-        let late = aim * (-self.spread * (DOUBT + LATE * self.lateness)).exp();
+        let lost = usize::from(self.settings.max_retry_after <= 0);
+        let late = aim * (-self.spread * (DOUBT[lost] + LATE[lost] * self.lateness)).exp();
         // Work that comes too late is refused before it takes room from work that would not. The usual
         // work of its class tells whether the fleet is full; a heavy request alone is no reason.
         // A cold server with next to nothing in hand is slow and not full: it warms by work alone.
--- a/crates/decision/src/state.rs
+++ b/crates/decision/src/state.rs
@@ -178,8 +178,6 @@
     /// Mean reported load for each unit of capacity, and mean capacity.
     pub(crate) mean_load: f64,
     pub(crate) mean_capacity: f64,
-    /// Share of the usable capacity that stands in the own zone; 1 where none does.
-    pub(crate) home: f64,
     /// The last fill's servers and shares.
     pub(crate) vessels: Vec<Vessel>,
     pub(crate) shares: Vec<f64>,
@@ -252,7 +250,6 @@
             faded_at: None,
             mean_load: 0.0,
             mean_capacity: 0.0,
-            home: 1.0,
             vessels: Vec::new(),
             shares: Vec::new(),
         }
