--- a/crates/decision/tests/failures.rs
+++ b/crates/decision/tests/failures.rs
@@ -179,7 +179,7 @@
 fn slow_servers_get_their_part_by_old_figures() {
     let prices = Prices { probe: 1.0, ..Prices::default() };
     let mut d = Driver::new(Settings { balancers: 6, prices, ..settings() }, 8, 8);
-    let mut got = vec![0; 8];
+    let mut got = [0; 8];
     for id in 1..600 {
         for s in sent(&d.wait(25_000).request(id, 0)) {
             let slow = s % 2 == 1;
