--- a/crates/decision/src/policy.rs
+++ b/crates/decision/src/policy.rs
@@ -6,7 +6,7 @@
 
 use crate::interface::*;
 use crate::learn::NEWS;
-use crate::state::{Attempt, Backend, Held, Subscription, SUSPECT};
+use crate::state::{Attempt, Backend, Held, Subscription, RATE, SUSPECT};
 pub use crate::state::{Balancer, Vessel};
 use rand_core::{RngCore, SeedableRng};
 use rand_xoshiro::Xoshiro128PlusPlus;
@@ -44,6 +44,8 @@
 const MOST: usize = 64;
 /// Shares of capacity with room and of late answers from and up to which one full server refuses nobody.
 const ROOM: (f64, f64) = (0.85, 0.1);
+/// Time (microseconds) without a send in which most of what was learnt of one server's pace is forgotten.
+const UNHEARD: f64 = 2e6;
 /// How much emptier than the fleet a key's home counts.
 const WARM: f64 = 2.0;
 
@@ -275,7 +277,7 @@
     fn fill(&mut self, set: &[usize], age: f64, home_at: Option<usize>) {
         // Requests that all balancers send in while the figures age. What came earlier than a request's
         // stay has left again, so a longer age adds nothing.
-        let all = self.settings.balancers as f64 * self.rate * age.min(self.stay) / 1e6;
+        let all = self.settings.balancers as f64 * self.sends() * age.min(self.stay) / 1e6;
         let each = all / self.backends.len().max(1) as f64;
         let old = (INTERVAL * age / self.stay).max(1.0);
         let fullness = self.mean_load * self.mean_capacity + 1.0 + 2.0 * each;
@@ -324,10 +326,10 @@
         self.faded_at = Some(now);
         self.lateness *= (-passed / FORGET).exp();
         let (mut age, mut known) = (0.0, Vec::new());
-        let overdue = 4.0 * self.stay + 100_000.0;
+        let (overdue, sight) = (4.0 * self.stay + 100_000.0, self.sight());
         // An idle connection is closed once keeping it has cost as much as opening it again would.
         let Prices { connection, handshake, .. } = self.settings.prices;
-        let requests = connection * self.settings.balancers as f64 * self.rate.max(1e-3);
+        let requests = connection * self.settings.balancers as f64 * self.sends().max(1e-3);
         let keep = 1e8 * handshake * self.backends.len() as f64 / requests;
         for slot in 0..self.backends.len() {
             let b = &mut self.backends[slot];
@@ -343,7 +345,9 @@
             let warmth = self.warmth(slot);
             let b = &mut self.backends[slot];
             let kind = self.kinds.get(&b.info.kind).map_or(self.pace, |k| k.pace);
-            b.capacity = b.info.power * (kind + b.pace).exp() * warmth;
+            // One that looked slow is sent little and teaches nothing: that alone must not keep it slow.
+            let unheard = (now - b.used_at).max(0) as f64 * sight / UNHEARD;
+            b.capacity = b.info.power * (kind + b.pace * (-unheard).exp()).exp() * warmth;
             if let (Readiness::Ready, Some(at), false) = (b.info.readiness, b.load_at, b.guessed) {
                 age += (now - at) as f64;
                 known.push((b.load, b.capacity));
@@ -364,8 +368,8 @@
 
     fn on_request(&mut self, request: Request) {
         let Request { id, class, work, key, time_left } = request;
-        let passed = ((self.now - self.rate_at).max(0) as f64 / 1e6).min(1e6);
-        self.rate = self.rate * (-passed / 5.0).exp() + 0.2;
+        let passed = (self.now - self.rate_at).max(0) as f64 / RATE;
+        self.rate = self.rate * (-passed).exp() + 1e6 / RATE;
         self.rate_at = self.now;
         self.copy_budget = (self.copy_budget + COPIES.0).min(COPIES.1);
         let aim = self.settings.classes.get(class).map(|c| c.aim);
--- a/crates/decision/src/state.rs
+++ b/crates/decision/src/state.rs
@@ -9,6 +9,9 @@
 /// Trouble (smoothed share of bad outcomes) at which a server becomes suspect.
 pub(crate) const SUSPECT: f64 = 0.5;
 
+/// Time (microseconds) over which the own rate of requests is smoothed.
+pub(crate) const RATE: f64 = 5e6;
+
 /// One server of a water-fill: the three numbers by which it is judged.
 #[derive(Clone, Copy, Debug)]
 pub struct Vessel {
@@ -189,6 +192,12 @@
         draw::uniform(&mut self.rng)
     }
 
+    /// Own requests a second. The smoothed figure starts at nothing and counts for as much as it has seen.
+    pub(crate) fn sends(&self) -> f64 {
+        let seen = ((self.now - self.born).max(0) as f64 / RATE).max(0.04);
+        self.rate / (1.0 - (-seen).exp())
+    }
+
     /// How much of what happens to the servers it sees by itself.
     pub(crate) fn sight(&self) -> f64 {
         roseproxy_fleet::sight(self.settings.balancers)
@@ -255,3 +264,42 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::interface::{Class, Event, Request, Update};
+
+    /// A sidecar that starts anew knew for seconds of a fifth of its own requests, so that the fill counted
+    /// too few of all and crowded the servers that looked best.
+    #[test]
+    fn a_new_sidecar_knows_how_much_it_sends() {
+        let settings = Settings { classes: vec![Class::default()], ..Settings::default() };
+        let mut balancer = Balancer::new(settings, 5, 0);
+        for id in 1..=1000 {
+            let now = id * 5_000;
+            let request = Request { id: id as u64, time_left: 1_000_000, ..Request::default() };
+            balancer.handle(now, Event::Request(request), &mut Vec::new());
+            let sends = balancer.sends();
+            assert!(id < 40 || (150.0..250.0).contains(&sends), "{sends:.0} of 200 a second after {now} us");
+        }
+    }
+
+    /// On the Mandal catalogue the first answers of two servers took long, and for seven seconds nothing went
+    /// to them while others were crowded: who looks slow is sent little and cannot show better.
+    #[test]
+    fn a_server_that_is_sent_nothing_does_not_look_slow_for_ever() {
+        let settings = Settings { classes: vec![Class::default()], ..Settings::default() };
+        let mut balancer = Balancer::new(settings, 5, 0);
+        let servers = [Server { id: ServerId(1), power: 1.0, ..Server::default() }];
+        balancer.handle(0, Event::Servers { update: Update::Complete, servers: &servers }, &mut Vec::new());
+        let mut capacity = |id, now| {
+            (balancer.backends[0].pace, balancer.backends[0].used_at) = (-2.0, 0);
+            let request = Request { id, time_left: 1_000_000, ..Request::default() };
+            balancer.handle(now, Event::Request(request), &mut Vec::new());
+            balancer.backends[0].capacity
+        };
+        let (soon, later) = (capacity(1, 1_000), capacity(2, 10_000_000));
+        assert!(soon < 0.2 && later > 0.9, "{soon:.2} at once, {later:.2} after ten seconds");
+    }
+}
