Let one target of the socket tests answer both of the requests that pass unchanged

Need: the test of the passing key repeated the answering target of the test before it, line by line.

Change: serve() in crates/roseproxy/tests/sockets.rs; both tests call it. Assertions and program unchanged.

--- a/crates/roseproxy/tests/sockets.rs
+++ b/crates/roseproxy/tests/sockets.rs
@@ -116,6 +116,17 @@
     )
 }
 
+/// A target that answers so many requests on one connection; returns them as they came.
+async fn serve(socket: TcpListener, count: usize) -> Vec<String> {
+    let (mut stream, _) = socket.accept().await.expect("the sidecar connects");
+    let mut got = Vec::new();
+    for _ in 0..count {
+        got.push(message(&mut stream).await.expect("a request"));
+        stream.write_all(OK.as_bytes()).await.expect("written");
+    }
+    got
+}
+
 async fn ask(client: &mut TcpStream, text: &str) -> String {
     client.write_all(text.as_bytes()).await.expect("the sidecar reads");
     message(client).await.expect("a whole answer")
@@ -127,19 +138,13 @@
         let (socket, target) = port().await;
         let sidecar = sidecar(&[target], 8).await;
         let mut client = TcpStream::connect(sidecar.address).await.expect("connects");
-        let served = spawn_local(async move {
-            let (mut stream, _) = socket.accept().await.expect("the sidecar connects");
-            let first = message(&mut stream).await.expect("a request");
-            stream.write_all(OK.as_bytes()).await.expect("written");
-            // On the same connection: a handshake is dear.
-            let second = message(&mut stream).await.expect("a request");
-            stream.write_all(OK.as_bytes()).await.expect("written");
-            (first, second)
-        });
+        // Both on one connection: a handshake is dear.
+        let served = spawn_local(serve(socket, 2));
         let answer = ask(&mut client, &request("place-order", "9b1f03aa", "size=2x3")).await;
         assert!(answer.starts_with("HTTP/1.1 200") && answer.ends_with("\r\n\r\npriced"), "{answer}");
         ask(&mut client, &request("quote", "aa", "")).await;
-        let (first, second) = served.await.expect("no panic");
+        let got = served.await.expect("no panic");
+        let (first, second) = (&got[0], &got[1]);
         assert!(
             first.starts_with("POST /place-order?obj=7f3a HTTP/1.1\r\n")
                 && first.ends_with("\r\n\r\nsize=2x3")
@@ -159,17 +164,12 @@
         let (socket, target) = port().await;
         let sidecar = sidecar(&[target], 8).await;
         let mut client = TcpStream::connect(sidecar.address).await.expect("connects");
-        let served = spawn_local(async move {
-            let (mut stream, _) = socket.accept().await.expect("the sidecar connects");
-            let got = message(&mut stream).await.expect("a request");
-            stream.write_all(OK.as_bytes()).await.expect("written");
-            got
-        });
+        let served = spawn_local(serve(socket, 1));
         let key = "Idempotency-Key: 5c0f6e1a2b3d4c59a8b7c6d5e4f30211\r\nContent-Length";
         let answer =
             ask(&mut client, &request("stock-update", "ab", "sold=1").replace("Content-Length", key)).await;
         assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
-        let got = served.await.expect("no panic");
+        let got = &served.await.expect("no panic")[0];
         assert!(got.contains("idempotency-key: 5c0f6e1a2b3d4c59a8b7c6d5e4f30211\r\n"), "{got}");
     });
 }
