--- a/crates/decision/src/policy.rs
+++ b/crates/decision/src/policy.rs
@@ -115,7 +115,7 @@
     fn guess(&mut self) {
         self.class_work = self.settings.classes.iter().map(|c| c.aim as f64 / 4.0).collect();
         let stay = self.class_work.iter().sum::<f64>() / self.class_work.len().max(1) as f64;
-        (self.stay, self.spread, self.lateness) = (stay.max(1000.0), 0.7, 0.0);
+        (self.stay, self.work, self.spread, self.lateness) = (stay.max(1000.0), stay, 0.7, 0.0);
     }
 
     /// Takes one event and appends what is to be done.
@@ -126,11 +126,11 @@
             Event::Request(request) => self.on_request(request),
             Event::Ended { request, attempt, server, outcome, elapsed, finished, load } => {
                 let Some(&slot) = self.slots.get(&server) else { return };
-                self.backends[slot].out = self.backends[slot].out.saturating_sub(1);
+                self.ended(request, slot, outcome == Outcome::Served);
                 self.learn(slot, outcome, load, false);
                 self.on_ended(request, attempt, outcome, elapsed, finished);
             }
-            Event::Opened { request: id } => drop(self.requests.get_mut(&id).map(|h| h.streaming = true)),
+            Event::Opened { request } => self.opened(request),
             Event::Expired { request } => self.close(request),
             Event::Timer { token } => self.on_timer(token >> 3, token & 7),
             Event::Probed { server, outcome, load, .. } => {
@@ -295,7 +295,7 @@
             let trial = !self.settings.probes && b.until <= self.now && b.out == 0;
             let usable = b.ready() && (b.trouble < SUSPECT || trial);
             let (capacity, cap) = (b.capacity * (1.0 - b.trouble.min(SUSPECT)), f64::from(u8::from(usable)));
-            total += if b.ready() { capacity } else { 0.0 };
+            total += if b.ready() { b.speed } else { 0.0 };
             vessels.push(Vessel { load, capacity, cap });
         }
         // When all are suspect, better a suspect server than none. Gone and draining ones stay out.
@@ -308,7 +308,7 @@
             let parted = home_at == Some(slot) && self.sight() < 1.0;
             if self.warmth(slot) < 1.0 && !parted {
                 // All balancers do alike, and a cold server falls over when all send it too much.
-                v.cap *= v.capacity / total * (self.settings.fall_multiple / 4.0).min(1.0);
+                v.cap *= self.backends[slot].speed / total * (self.settings.fall_multiple / 4.0).min(1.0);
             }
         }
         water_fill(&vessels, m, &mut self.shares);
@@ -347,7 +347,10 @@
             let kind = self.kinds.get(&b.info.kind).map_or(self.pace, |k| k.pace);
             // One that looked slow is sent little and teaches nothing: that alone must not keep it slow.
             let unheard = (now - b.used_at).max(0) as f64 * sight / UNHEARD;
-            b.capacity = b.info.power * (kind + b.pace * (-unheard).exp()).exp() * warmth;
+            b.speed = b.info.power * (kind + b.pace * (-unheard).exp()).exp() * warmth;
+            let slowness = self.slowness(slot);
+            let b = &mut self.backends[slot];
+            b.capacity = b.speed / slowness;
             if let (Readiness::Ready, Some(at), false) = (b.info.readiness, b.load_at, b.guessed) {
                 age += (now - at) as f64;
                 known.push((b.load, b.capacity));
@@ -587,11 +590,12 @@
                 timeout = Some(again as Micros);
             }
         }
-        let b = &mut self.backends[slot];
+        let (now, b) = (self.now, &mut self.backends[slot]);
+        b.spend(now);
         if b.out == 0 {
-            b.silent_since = self.now;
+            b.silent_since = now;
         }
-        (b.out, b.open, b.used_at) = (b.out + 1, true, self.now);
+        (b.out, b.open, b.used_at) = (b.out + 1, true, now);
         self.out.push(Action::Send { request, server: b.info.id, timeout });
     }
 
@@ -652,5 +656,10 @@
         let stop = self.settings.cancel && !held.streaming;
         let pending = held.attempts.iter().enumerate().filter(|(_, a)| stop && a.outcome.is_none());
         self.out.extend(pending.map(|(attempt, _)| Action::Cancel { request, attempt }));
+        // The end of a stream that goes on without its request is still to come, and takes one off.
+        for a in held.attempts.iter().filter(|a| held.streaming && a.outcome.is_none()) {
+            self.backends[a.slot].spend(self.now);
+            self.backends[a.slot].out += 1;
+        }
     }
 }
--- a/crates/decision/src/state.rs
+++ b/crates/decision/src/state.rs
@@ -34,7 +34,13 @@
     pub guessed: bool,
     /// Logarithm of its speed compared with its kind's, as seen from answers.
     pub pace: f64,
-    /// Its speed in all: work done in a unit of time.
+    /// Time (microseconds) that own attempts have spent there lately, answers of late, and as of when.
+    pub spent: f64,
+    pub answers: f64,
+    pub spent_at: Micros,
+    /// Work it does in a unit of time, by power, kind, pace and warmth.
+    pub speed: f64,
+    /// The same as own attempts have it lately, those included that it has not answered yet.
     pub capacity: f64,
     /// Smoothed share of bad outcomes.
     pub trouble: f64,
@@ -68,7 +74,8 @@
     /// before; a power that is no sensible figure counts as 1.
     pub fn update(&mut self, info: &Server, now: Micros) {
         if self.info.started_at != info.started_at {
-            *self = Backend { out: self.out, probing: self.probing, silent_since: now, ..Backend::default() };
+            let (out, probing) = (self.out, self.probing);
+            *self = Backend { out, probing, silent_since: now, spent_at: now, ..Backend::default() };
         }
         let power = if info.power > 0.0 { info.power.clamp(1e-3, 1e6) } else { 1.0 };
         self.info = Server { power, ..info.clone() };
@@ -156,6 +163,8 @@
     pub(crate) homes: Homes,
     /// Smoothed work of each class.
     pub(crate) class_work: Vec<f64>,
+    /// Smoothed work of what is answered.
+    pub(crate) work: f64,
     /// Own requests a second, smoothed, and when that was.
     pub(crate) rate: f64,
     pub(crate) rate_at: Micros,
@@ -203,6 +212,28 @@
         roseproxy_fleet::sight(self.settings.balancers)
     }
 
+    /// A request's answer has started to come as a stream: its servers owe nothing more, however long it lasts.
+    pub(crate) fn opened(&mut self, request: RequestId) {
+        let Some(held) = self.requests.get_mut(&request).filter(|h| !h.streaming) else { return };
+        held.streaming = true;
+        for a in held.attempts.iter().filter(|a| a.outcome.is_none()) {
+            let b = &mut self.backends[a.slot];
+            b.spend(self.now);
+            (b.out, b.answers, b.silent_since) = (b.out.saturating_sub(1), b.answers + 1.0, self.now);
+        }
+    }
+
+    /// An attempt has ended; one whose stream had started was taken off the number out by that.
+    pub(crate) fn ended(&mut self, request: RequestId, slot: usize, served: bool) {
+        let streams = self.requests.get(&request).is_some_and(|h| h.streaming);
+        let b = &mut self.backends[slot];
+        b.spend(self.now);
+        if !streams {
+            b.out = b.out.saturating_sub(1);
+            b.answers += f64::from(u8::from(served));
+        }
+    }
+
     /// Probes a server, unless a probe is out.
     pub(crate) fn probe(&mut self, slot: usize) {
         let b = &mut self.backends[slot];
@@ -243,6 +274,7 @@
             awaiting: Vec::new(),
             homes: Homes::default(),
             class_work: Vec::new(),
+            work: 0.0,
             rate: 0.0,
             rate_at: now,
             stay: 0.0,
@@ -293,13 +325,13 @@
         let mut balancer = Balancer::new(settings, 5, 0);
         let servers = [Server { id: ServerId(1), power: 1.0, ..Server::default() }];
         balancer.handle(0, Event::Servers { update: Update::Complete, servers: &servers }, &mut Vec::new());
-        let mut capacity = |id, now| {
+        let mut speed = |id, now| {
             (balancer.backends[0].pace, balancer.backends[0].used_at) = (-2.0, 0);
             let request = Request { id, time_left: 1_000_000, ..Request::default() };
             balancer.handle(now, Event::Request(request), &mut Vec::new());
-            balancer.backends[0].capacity
+            balancer.backends[0].speed
         };
-        let (soon, later) = (capacity(1, 1_000), capacity(2, 10_000_000));
+        let (soon, later) = (speed(1, 1_000), speed(2, 10_000_000));
         assert!(soon < 0.2 && later > 0.9, "{soon:.2} at once, {later:.2} after ten seconds");
     }
 }
--- a/crates/decision/tests/common/mod.rs
+++ b/crates/decision/tests/common/mod.rs
@@ -95,6 +95,17 @@
         self.event(Event::Ended { request, attempt, server, outcome, elapsed, finished, load })
     }
 
+    /// Ends an attempt, and whatever is sent again for it likewise: nothing stays out for ever in service.
+    pub fn end_all(&mut self, id: RequestId, server: u64, end: (Outcome, Micros, f64), pass: bool) {
+        let (outcome, elapsed, load) = end;
+        let mut sends = vec![server];
+        for attempt in 0.. {
+            let Some(to) = sends.pop() else { return };
+            let time = if pass { elapsed } else { 0 };
+            sends = sent(&self.wait(time).end_after(id, attempt, to, outcome, elapsed, held(load)));
+        }
+    }
+
     pub fn probed(&mut self, server: u64, outcome: Outcome, load: Option<Load>) -> Vec<Action> {
         self.event(Event::Probed { server: ServerId(server), outcome, elapsed: 500, load })
     }
--- a/crates/decision/tests/failures.rs
+++ b/crates/decision/tests/failures.rs
@@ -11,8 +11,7 @@
     for id in from..from + count {
         let Some(&server) = sent(&d.wait(5_000).request(id, 1)).first() else { continue };
         got[server as usize] += 1;
-        let (outcome, elapsed, load) = answer(server);
-        d.wait(elapsed).end_after(id, 0, server, outcome, elapsed, held(load));
+        d.end_all(id, server, answer(server), true);
         d.event(Event::Expired { request: id });
     }
     got
@@ -115,6 +114,26 @@
     assert!(run(&mut d, 2000, 400, quiet)[1] > 20);
 }
 
+/// A stream may last for minutes; its server has answered all the same.
+#[test]
+fn a_long_stream_is_no_slow_answer() {
+    let mut d = Driver::new(settings(), 8, 4);
+    run(&mut d, 1, 200, quiet);
+    let mut id = 1000;
+    while sent(&d.wait(5_000).request(id, 0)) != [1] {
+        d.event(Event::Expired { request: id });
+        id += 1;
+    }
+    d.event(Event::Opened { request: id });
+    let before = run(&mut d, 2000, 400, quiet)[1];
+    assert!((60..140).contains(&before), "{before} of 400 beside a stream");
+    // The client leaves, and its attempt's end comes a second later.
+    d.event(Event::Expired { request: id });
+    d.wait(1_000_000).end_after(id, 0, 1, Outcome::Cancelled, 4_000_000, None);
+    let after = run(&mut d, 3000, 400, quiet)[1];
+    assert!((60..140).contains(&after), "{after} of 400 after it");
+}
+
 #[test]
 fn slow_servers_get_less_and_get_it_back() {
     let mut d = Driver::new(settings(), 8, 4);
@@ -339,16 +358,21 @@
         let list: Vec<Server> = (0..12).map(server).collect();
         all.extend(d.list(Update::Complete, &list));
         for id in 100..300 {
-            let actions = d.wait(3_000).request(id, id as usize % 5);
+            let (before, actions) = (all.len(), d.wait(3_000).request(id, id as usize % 5));
             for s in probes(&actions) {
                 let more = d.wait(400).probed(s, Outcome::Served, held((s % 3) as f64));
-                for to in sent(&more) {
-                    let outcome = if id % 7 == 0 { Outcome::Rejected } else { Outcome::Served };
-                    all.extend(d.wait(900).end(id, 0, to, outcome));
-                }
                 all.extend(more);
             }
+            let outcome = if id % 7 == 0 { Outcome::Rejected } else { Outcome::Served };
+            let mut sends = sent(&all[before..]);
+            sends.extend(sent(&actions));
             all.extend(actions);
+            for attempt in 0.. {
+                let Some(to) = sends.pop() else { break };
+                let more = d.wait(900).end(id, attempt, to, outcome);
+                sends = sent(&more);
+                all.extend(more);
+            }
         }
         all
     };
--- a/crates/decision/tests/keys.rs
+++ b/crates/decision/tests/keys.rs
@@ -52,7 +52,7 @@
     for id in 1..400 {
         let request = Request { id, class: 0, work: None, key: None, time_left: 1_200_000 };
         for s in sent(&d.wait(5_000).event(Event::Request(request))) {
-            drop(d.end_after(id, 0, s, Outcome::TimedOut, 1_200_000, None));
+            d.end_all(id, s, (Outcome::TimedOut, 1_200_000, 1.0), false);
         }
     }
     // The fleet is well again, as probes say.
@@ -85,7 +85,7 @@
         for id in 1..400 {
             for s in sent(&d.wait(2_000).request(id, 0)) {
                 went.push(s);
-                drop(d.end_after(id, 0, s, Outcome::Served, 30_000, held(2.0)));
+                drop(d.wait(5_000).end_after(id, 0, s, Outcome::Served, 5_000, held(2.0)));
             }
         }
         went.iter().filter(|s| **s == 2).count()
@@ -121,8 +121,8 @@
         let mut d = Driver::new(settings(), 9, 4);
         // Both have sent all their life, as one that was idle knows little of what all send.
         for id in 0..age as u64 / 10_000 {
-            for s in sent(&d.wait(10_000).request(1_000 + id, 0)) {
-                drop(d.end_after(1_000 + id, 0, s, Outcome::Served, 30_000, held(2.0)));
+            for s in sent(&d.wait(5_000).request(1_000 + id, 0)) {
+                drop(d.wait(5_000).end_after(1_000 + id, 0, s, Outcome::Served, 5_000, held(2.0)));
             }
         }
         // Out of reach for 0.2 s: an old balancer takes that for a pause.
@@ -133,7 +133,7 @@
         for id in 1..200 {
             for s in sent(&d.wait(2_000).request(id, 0)) {
                 went.push(s);
-                drop(d.end_after(id, 0, s, Outcome::Served, 30_000, held(2.0)));
+                drop(d.wait(5_000).end_after(id, 0, s, Outcome::Served, 5_000, held(2.0)));
             }
         }
         went.iter().filter(|s| **s == 2).count()
