--- a/crates/decision/src/interface.rs
+++ b/crates/decision/src/interface.rs
@@ -101,6 +101,10 @@
     pub zone: Option<u32>,
     /// The request classes.
     pub classes: Vec<Class>,
+    /// Each tenant's quota: requests a second over all instances.
+    pub tenants: Vec<f64>,
+    /// Share of its worth that a request beyond its tenant's quota keeps.
+    pub over_share_worth: f64,
     /// What costs points.
     pub prices: Prices,
     /// Weight of the worst-served class in the result, 0 to 1.
@@ -141,6 +145,8 @@
             balancers: 1,
             zone: None,
             classes: Vec::new(),
+            tenants: Vec::new(),
+            over_share_worth: 1.0,
             prices: Prices::default(),
             worst_class_weight: 0.0,
             must_subscribe: false,
@@ -248,6 +254,8 @@
     pub id: RequestId,
     /// Its class.
     pub class: ClassId,
+    /// Index of its tenant in [`Settings::tenants`], where it has one.
+    pub tenant: Option<usize>,
     /// Expected work, in time of a standard core.
     pub work: Option<Micros>,
     /// Stable hash of what it is about; equal for equal subjects.
--- a/crates/decision/src/policy.rs
+++ b/crates/decision/src/policy.rs
@@ -34,6 +34,9 @@
 const DOUBT: [f64; 2] = [1.5, -1.0];
 /// How fast refusals grow stricter with the share of own answers that come late, in these two cases.
 const LATE: [f64; 2] = [6.0, 2.0];
+/// How much less a forecast may miss for each (logarithm of) time that a tenant had its part of what was
+/// sent, as far as work beyond a share is worth less, and the most of that.
+const BEYOND: (f64, f64) = (6.5, 6.0);
 /// Reported load, for each unit of stated size, from which on a time-out tells of a full fleet.
 const BUSY: f64 = 0.5;
 /// Time (microseconds) in which most of what was learnt of late answers is forgotten.
@@ -370,7 +373,7 @@
     // ---- requests
 
     fn on_request(&mut self, request: Request) {
-        let Request { id, class, work, key, time_left } = request;
+        let Request { id, class, tenant, work, key, time_left } = request;
         let passed = (self.now - self.rate_at).max(0) as f64 / RATE;
         self.rate = self.rate * (-passed).exp() + 1e6 / RATE;
         self.rate_at = self.now;
@@ -383,7 +386,7 @@
         let hinted = work.is_some();
         let work = work.map_or(usual, |w| w as f64).clamp(1.0, 1e9);
         let (arrived, deadline) = (self.now, self.now.saturating_add(time_left));
-        let held = Held { class, key, work, hinted, arrived, deadline, ..Held::default() };
+        let held = Held { class, tenant, key, work, hinted, arrived, deadline, ..Held::default() };
         self.requests.insert(id, held);
         // In a small fleet a key has one home whatever its share.
         if let Some(key) = key.filter(|_| self.settings.warm_keys && self.sight() < 1.0) {
@@ -499,6 +502,7 @@
         held.awaited = 0;
         let held = &*held;
         let (arrived, deadline, work, key) = (held.arrived, held.deadline, held.work, held.key);
+        let tenant = held.tenant;
         let class = &self.settings.classes[held.class];
         let ran = held.ran().map(|a| &self.backends[a.slot].info);
         let allowed = |b: &Backend| match (class.effect, ran) {
@@ -538,7 +542,10 @@
         let left = (deadline - self.now) as f64;
         // Clients ask again at once and a crowded server turns slow for long: a doubt is no benefit.
         let lost = usize::from(self.settings.max_retry_after <= 0);
-        let late = aim * (-self.spread * (DOUBT[lost] + LATE[lost] * self.lateness)).exp();
+        let beyond =
+            tenant.map_or(0.0, |t| self.tenants.beyond(t, self.now) * (1.0 - self.settings.over_share_worth));
+        let strict = DOUBT[lost] + (BEYOND.0 * beyond).min(BEYOND.1) + LATE[lost] * self.lateness;
+        let late = aim * (-self.spread * strict).exp();
         // Work that comes too late is refused before it takes room from work that would not. The usual
         // work of its class tells whether the fleet is full; a heavy request alone is no reason.
         // A cold server with next to nothing in hand is slow and not full: it warms by work alone.
@@ -579,6 +586,7 @@
             self.guess();
         }
         self.shut_since = None;
+        tenant.filter(|_| first).into_iter().for_each(|t| self.tenants.sent(t, self.now));
         let attempt = Attempt { slot, sent: self.now, outcome: None };
         self.requests.entry(request).and_modify(|h| h.attempts.push(attempt));
         let again = (forecast * (3.0 * self.spread).exp()).max(aim / 4.0);
@@ -656,10 +664,6 @@
         let stop = self.settings.cancel && !held.streaming;
         let pending = held.attempts.iter().enumerate().filter(|(_, a)| stop && a.outcome.is_none());
         self.out.extend(pending.map(|(attempt, _)| Action::Cancel { request, attempt }));
-        // The end of a stream that goes on without its request is still to come, and takes one off.
-        for a in held.attempts.iter().filter(|a| held.streaming && a.outcome.is_none()) {
-            self.backends[a.slot].spend(self.now);
-            self.backends[a.slot].out += 1;
-        }
+        self.closed(&held);
     }
 }
--- a/crates/decision/src/state.rs
+++ b/crates/decision/src/state.rs
@@ -4,6 +4,7 @@
 use rand_xoshiro::Xoshiro128PlusPlus;
 use roseproxy_fleet::draw;
 use roseproxy_fleet::homes::Homes;
+use roseproxy_fleet::tenants::Tenants;
 use std::collections::HashMap;
 
 /// Trouble (smoothed share of bad outcomes) at which a server becomes suspect.
@@ -107,6 +108,8 @@
 #[derive(Debug, Default)]
 pub(crate) struct Held {
     pub class: ClassId,
+    /// Whose it is.
+    pub tenant: Option<usize>,
     /// What it is about.
     pub key: Option<u64>,
     /// Its work, and whether a hint said so.
@@ -161,6 +164,8 @@
     pub(crate) awaiting: Vec<RequestId>,
     /// Where the keys go first that it is asked for.
     pub(crate) homes: Homes,
+    /// What was sent of late for each tenant.
+    pub(crate) tenants: Tenants,
     /// Smoothed work of each class.
     pub(crate) class_work: Vec<f64>,
     /// Smoothed work of what is answered.
@@ -234,6 +239,15 @@
         }
     }
 
+    /// A request is forgotten. The end of a stream that goes on without it is still to come, and takes one off.
+    pub(crate) fn closed(&mut self, held: &Held) {
+        for a in held.attempts.iter().filter(|a| held.streaming && a.outcome.is_none()) {
+            let b = &mut self.backends[a.slot];
+            b.spend(self.now);
+            b.out += 1;
+        }
+    }
+
     /// Probes a server, unless a probe is out.
     pub(crate) fn probe(&mut self, slot: usize) {
         let b = &mut self.backends[slot];
@@ -260,6 +274,7 @@
 
     pub(crate) fn blank(settings: Settings, rng: Xoshiro128PlusPlus, now: Micros) -> Self {
         Balancer {
+            tenants: Tenants::new(&settings.tenants),
             settings,
             rng,
             now,
--- a/crates/decision/tests/common/mod.rs
+++ b/crates/decision/tests/common/mod.rs
@@ -74,7 +74,7 @@
     }
 
     pub fn request_in(&mut self, id: RequestId, class: ClassId, time_left: Micros) -> Vec<Action> {
-        self.event(Event::Request(Request { id, class, work: Some(10_000), key: None, time_left }))
+        self.event(Event::Request(Request { id, class, work: Some(10_000), time_left, ..Request::default() }))
     }
 
     pub fn end(&mut self, id: RequestId, attempt: usize, server: u64, outcome: Outcome) -> Vec<Action> {
--- a/crates/decision/tests/failures.rs
+++ b/crates/decision/tests/failures.rs
@@ -181,6 +181,39 @@
     assert!(advised < 150 && lost > 180, "with advice {advised} of 200 are sent, without {lost}");
 }
 
+/// On overload 40% were refused whoever asked, those most who had no more than their share: of each tenant
+/// only what is within its quota is worth something.
+#[test]
+fn on_overload_those_beyond_their_share_go_without() {
+    let refused = |over_share_worth| {
+        let tenants = vec![20.0, 20.0];
+        let mut d = Driver::new(Settings { tenants, over_share_worth, ..settings() }, 8, 4);
+        let (mut asked, mut refused, mut out) = ([0.0; 2], [0.0; 2], Vec::new());
+        for id in 1..3000 {
+            let tenant = usize::from(id % 4 == 0);
+            let request = Request { id, tenant: Some(tenant), time_left: 1_200_000, ..Request::default() };
+            let sends = sent(&d.wait(5_000).event(Event::Request(request)));
+            if id > 1000 {
+                (asked[tenant], refused[tenant]) =
+                    (asked[tenant] + 1.0, refused[tenant] + if sends.is_empty() { 1.0 } else { 0.0 });
+            }
+            out.extend(sends.into_iter().map(|s| (d.now, id, s)));
+            // Each server answers one every 25 ms, after all before it.
+            for server in (0..4).filter(|_| id % 5 == 0) {
+                if let Some(i) = out.iter().position(|o| o.2 == server) {
+                    let held_by = out.iter().filter(|o| o.2 == server).count() as f64;
+                    let (since, id, _) = out.remove(i);
+                    d.end_after(id, 0, server, Outcome::Served, d.now - since, held(held_by));
+                }
+            }
+        }
+        [refused[0] / asked[0], refused[1] / asked[1]]
+    };
+    let (told, all_alike) = (refused(0.05), refused(1.0));
+    assert!(told[0] > 2.0 * told[1] && told[0] > 0.1, "{told:?} of the greedy and the modest are refused");
+    assert!(all_alike[0] < 1.5 * all_alike[1], "{all_alike:?} where all are worth the same");
+}
+
 /// Zones with a third of the servers may bring half of the requests: who fills the own zone first crowds it.
 #[test]
 fn a_small_zone_of_ones_own_is_not_crowded() {
@@ -237,7 +270,7 @@
 fn who_refuses_all_tries_again_after_a_while() {
     let mut d = Driver::new(Settings { max_retry_after: 1_000_000, ..settings() }, 8, 4);
     let ask = |d: &mut Driver, id| {
-        let request = Request { id, class: 1, work: None, key: None, time_left: 1_200_000 };
+        let request = Request { id, class: 1, time_left: 1_200_000, ..Request::default() };
         d.event(Event::Request(request))
     };
     // Every answer comes late, as at a start; then all servers are empty, but nobody is asked any more.
@@ -304,8 +337,14 @@
         assert!(d.end(999, 0, 55, Outcome::Error).is_empty());
     }
     assert!(d.timer(u64::MAX - 1).is_empty());
-    let mut request =
-        Request { id: 1, class: 99, work: Some(Micros::MAX), key: Some(3), time_left: Micros::MAX };
+    let mut request = Request {
+        id: 1,
+        class: 99,
+        tenant: Some(usize::MAX),
+        work: Some(Micros::MAX),
+        key: Some(3),
+        time_left: Micros::MAX,
+    };
     assert!(refused(&d.event(Event::Request(request.clone()))), "no such class");
     (request.id, request.class) = (2, 0);
     let actions = d.event(Event::Request(request.clone()));
--- a/crates/decision/tests/fleet.rs
+++ b/crates/decision/tests/fleet.rs
@@ -23,10 +23,9 @@
     for id in from..from + count {
         let request = Request {
             id,
-            class: 0,
-            work: None,
             key: Some(id.wrapping_mul(0x9e37_79b9)),
             time_left: 1_200_000,
+            ..Request::default()
         };
         for s in sent(&d.wait(30_000).event(Event::Request(request))) {
             went[s as usize] += 1;
@@ -124,7 +123,7 @@
     let mut went = vec![0; 64];
     for id in 1000..1400 {
         // Without a key: no home.
-        let request = Request { id, class: 0, work: None, key: None, time_left: 1_200_000 };
+        let request = Request { id, class: 0, time_left: 1_200_000, ..Request::default() };
         for s in sent(&d.wait(10_000).event(Event::Request(request))) {
             went[s as usize] += 1;
             drop(d.end_after(id, 0, s, Outcome::Served, 30_000, None));
--- a/crates/decision/tests/keys.rs
+++ b/crates/decision/tests/keys.rs
@@ -6,7 +6,7 @@
 use roseproxy_decision::interface::*;
 
 fn keyed_request(d: &mut Driver, id: RequestId, key: u64) -> Vec<Action> {
-    let request = Request { id, class: 0, work: None, key: Some(key), time_left: 1_200_000 };
+    let request = Request { id, key: Some(key), time_left: 1_200_000, ..Request::default() };
     d.event(Event::Request(request))
 }
 
@@ -50,7 +50,7 @@
 fn refusals_do_not_last_for_ever() {
     let mut d = Driver::new(settings(), 3, 4);
     for id in 1..400 {
-        let request = Request { id, class: 0, work: None, key: None, time_left: 1_200_000 };
+        let request = Request { id, class: 0, time_left: 1_200_000, ..Request::default() };
         for s in sent(&d.wait(5_000).event(Event::Request(request))) {
             d.end_all(id, s, (Outcome::TimedOut, 1_200_000, 1.0), false);
         }
@@ -59,7 +59,7 @@
     (0..4).for_each(|s| drop(d.wait(5_000_000).probed(s, Outcome::Served, held(0.0))));
     let mut served = 0;
     for id in 1000..1100 {
-        let request = Request { id, class: 0, work: None, key: None, time_left: 1_200_000 };
+        let request = Request { id, class: 0, time_left: 1_200_000, ..Request::default() };
         for s in sent(&d.wait(50_000).event(Event::Request(request))) {
             served += 1;
             drop(d.wait(50_000).end_after(id, 0, s, Outcome::Served, 50_000, held(1.0)));
@@ -151,7 +151,7 @@
     let mut refusals = 0;
     for id in 1..=300 {
         (0..16).for_each(|s| drop(d.probed(s, Outcome::Served, load(s))));
-        let request = Request { id, class: 0, work: None, key: None, time_left: 1_200_000 };
+        let request = Request { id, class: 0, time_left: 1_200_000, ..Request::default() };
         let actions = d.wait(20_000).event(Event::Request(request));
         refusals += usize::from(id > 100 && refused(&actions));
         for s in sent(&actions) {
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod calls;
 pub mod draw;
 pub mod homes;
+pub mod tenants;
 pub mod usual;
 
 /// Sidecars up to which each sees enough of the servers by itself.
--- a/crates/platform/src/request.rs
+++ b/crates/platform/src/request.rs
@@ -100,7 +100,9 @@
             Some(value) => seconds(value).ok_or(bad("Request-Timeout is no number of seconds"))?,
         };
         let key = parts.uri.query().and_then(key);
-        Ok(NewFlow { class, key, time_left: time_left.min(LONGEST_WAIT) })
+        let tenant = parts.headers.get(TENANT).and_then(|t| t.to_str().ok());
+        let tenant = tenant.and_then(|t| self.dialect.tenant(t));
+        Ok(NewFlow { class, tenant, key, time_left: time_left.min(LONGEST_WAIT) })
     }
 
     fn class(&self, parts: &Parts) -> Result<ClassId, Malformed> {
--- a/crates/platform/src/wire.rs
+++ b/crates/platform/src/wire.rs
@@ -39,6 +39,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct Dialect {
     classes: Vec<String>,
+    tenants: Vec<String>,
     report: Vec<String>,
 }
 
@@ -47,6 +48,11 @@
     pub fn class(&self, name: &str) -> Option<ClassId> {
         self.classes.iter().position(|c| c == name)
     }
+
+    /// The tenant of that name.
+    pub fn tenant(&self, name: &str) -> Option<usize> {
+        self.tenants.iter().position(|t| t == name)
+    }
 }
 
 /// How many lists can be numbered.
@@ -171,13 +177,11 @@
             let class = class.ok_or_else(|| format!("unknown class {band}"))?;
             let hint: Option<Micros> = f.optional("work_hint")?;
             let key = f.text("affinity")?;
-            Event::Request(Request {
-                id,
-                class,
-                work: hint.filter(|_| bits & 1 == 1),
-                key: (key != "-").then(|| tag(key)),
-                time_left: f.number("time_left")?,
-            })
+            let time_left = f.number("time_left")?;
+            // Sites without tenants may leave it out.
+            let tenant = f.0.next().and_then(|name| dialect.tenant(name));
+            let (work, key) = (hint.filter(|_| bits & 1 == 1), (key != "-").then(|| tag(key)));
+            Event::Request(Request { id, class, tenant, work, key, time_left })
         }
         "OPENED" => Event::Opened {
             request: {
@@ -296,6 +300,13 @@
     })
 }
 
+/// A tenant's requests a second over the whole fleet; 0 where none are stated.
+fn quota(customer: &Value) -> Parsed<f64> {
+    let Some(quota) = customer.get("quota_per_s") else { return Ok(0.0) };
+    let wrong = || "settings: quota_per_s is not a number from 0 up".to_owned();
+    quota.as_f64().filter(|q| *q >= 0.0).ok_or_else(wrong)
+}
+
 /// Reads the settings of an instance. Unknown keys are skipped.
 pub fn parse_settings(json: &str) -> Parsed<(Settings, Dialect)> {
     read_settings(&serde_json::from_str(json).map_err(|e| format!("settings are not JSON: {e}"))?)
@@ -333,6 +344,13 @@
             effect,
         });
     }
+    let (mut tenants, mut quotas) = (Vec::new(), Vec::new());
+    if all.get("customers").is_some() {
+        for customer in need_list(all, "customers")? {
+            tenants.push(need_text(customer, "name")?.to_owned());
+            quotas.push(quota(customer)?);
+        }
+    }
     let how = need_text(need(all, "report")?, "how")?;
     let report = need_list(need(all, "report")?, "names")?;
     let retry_after = limits.get("retry_after").and_then(Value::as_bool).unwrap_or(false);
@@ -340,6 +358,8 @@
         balancers: need_int(all, "fleet_size")?.max(1) as usize,
         zone: all.get("locality").and_then(Value::as_str).map(|z| tag(z) as u32),
         classes,
+        tenants: quotas,
+        over_share_worth: all.get("over_share_worth").and_then(Value::as_f64).unwrap_or(1.0),
         prices: Prices {
             probe: number(all, "prices", "probe"),
             cross_zone: number(all, "prices", "cross_zone"),
@@ -364,7 +384,7 @@
         network: read_network(limits, rules)?,
     };
     let report = report.iter().map(|n| n.as_str().unwrap_or("").to_owned()).collect();
-    Ok((settings, Dialect { classes: names, report }))
+    Ok((settings, Dialect { classes: names, tenants, report }))
 }
 
 /// The names of servers, to print actions with.
--- a/crates/roseproxy/tests/protocol.rs
+++ b/crates/roseproxy/tests/protocol.rs
@@ -13,7 +13,8 @@
     json!({"name": "n3", "listen": "127.0.0.1:0", "discovery": "127.0.0.1:1", "seed": "8c1f30d27a5be964",
         "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
         "known": {"revision": 41, "complete": true, "members": [member("s-1", "in_service")]},
-        "settings": {"discovery": "on_request", "fleet_size": 4, "locality": "a",
+        "settings": {"customers": [{"name": "acme", "quota_per_s": 30.0, "share": 0.75}, {"name": "bolt", "quota_per_s": 10}],
+            "over_share_worth": 0.1, "discovery": "on_request", "fleet_size": 4, "locality": "a",
             "limits": {"cancel": true, "conn_idle": 5000000, "connect_timeout": 250000, "max_attempts": 3,
                 "max_open": 20000, "max_retry_after": 1000000, "probes": true, "retry_after": true,
                 "second_copies": true},
@@ -55,6 +56,22 @@
     assert_eq!((new.class, new.key, new.time_left), (1, None, 2000.0));
 }
 
+/// Work beyond a tenant's quota is worth little: whose a request is has to reach the decision.
+#[test]
+fn the_tenant_is_told_and_one_that_nobody_knows_is_none() {
+    let tenant = |name: &str| read(quote().header("Tenant", name)).expect("good").tenant;
+    assert_eq!([tenant("bolt"), tenant("acme"), tenant("zenith")], [Some(1), Some(0), None]);
+    assert_eq!(read(quote()).expect("good").tenant, None);
+    let mut config = config();
+    let settings = read_config(&config).expect("good").settings;
+    assert_eq!((settings.tenants, settings.over_share_worth), (vec![30.0, 10.0], 0.1));
+    for key in ["customers", "over_share_worth"] {
+        config["settings"].as_object_mut().expect("an object").remove(key);
+    }
+    let settings = read_config(&config).expect("a platform without tenants").settings;
+    assert_eq!((settings.tenants, settings.over_share_worth), (vec![], 1.0));
+}
+
 #[test]
 fn malformed_heads_get_a_4xx() {
     let status = |r| read(r).expect_err("malformed").status.as_u16();
@@ -147,6 +164,9 @@
         ("/limits/sockets", json!(3), "limits.sockets"),
         ("/known", json!({"revision": 1}), "known"),
         ("/settings", json!({}), "limits"),
+        ("/settings/customers/1/quota_per_s", json!("ten"), "quota_per_s"),
+        ("/settings/customers/0/quota_per_s", json!(-1), "quota_per_s"),
+        ("/settings/customers/0/name", json!(null), "name"),
         ("/settings/fleet_size", json!("four"), "fleet_size"),
         ("/settings/limits/conn_idle", json!(0), "conn_idle"),
         ("/settings/limits/connect_timeout", json!(-5), "connect_timeout"),
--- a/crates/routing/src/flow.rs
+++ b/crates/routing/src/flow.rs
@@ -21,6 +21,8 @@
 pub struct NewFlow {
     /// Its class.
     pub class: ClassId,
+    /// Index of its tenant, where the settings name it.
+    pub tenant: Option<usize>,
     /// Stable hash of what it is about.
     pub key: Option<u64>,
     /// How long the client waits, in milliseconds from when it sent the request.
--- a/crates/routing/src/take_in.rs
+++ b/crates/routing/src/take_in.rs
@@ -17,6 +17,7 @@
             let request = Request {
                 id,
                 class: new.class,
+                tenant: new.tenant,
                 work: None,
                 key: new.key,
                 time_left: time::to_micros(time_left),
--- a/crates/routing/tests/routing.rs
+++ b/crates/routing/tests/routing.rs
@@ -81,7 +81,7 @@
     }
 
     fn flow(&mut self, class: usize, time_left: f64) -> FlowId {
-        let id = self.host.take_in(self.now(), NewFlow { class, key: Some(5), time_left });
+        let id = self.host.take_in(self.now(), NewFlow { class, tenant: None, key: Some(5), time_left });
         self.orders();
         id
     }
