--- a/crates/decision/src/learn.rs
+++ b/crates/decision/src/learn.rs
@@ -60,6 +60,17 @@
         b.pace = (b.pace + (pace - kind.pace - b.pace) * STEP).clamp(-2.5, 0.7);
     }
 
+    /// Learns which part of what the servers hold is from here; `known` are reported loads and capacities.
+    pub(crate) fn learn_part(&mut self, known: &[(f64, f64)], passed: f64) {
+        let ready = self.backends.iter().filter(|b| b.ready()).count() as f64;
+        let own: u32 = self.backends.iter().map(|b| b.out).sum();
+        // A load of 0 for want of any report would make all that the servers hold the own.
+        if !known.is_empty() {
+            let mean = known.iter().map(|(load, _)| load).sum::<f64>() / known.len() as f64;
+            self.tenants.held(mean * ready, own.into(), passed);
+        }
+    }
+
     /// How much of its speed a server lacks of late: the time that own attempts have spent there, answered or
     /// not, for each answer, against what a server of that speed takes at the fleet's mean load. Answers alone
     /// would tell of the quick ones only, as those that take long are still out. This is no count of what is
--- a/crates/decision/src/policy.rs
+++ b/crates/decision/src/policy.rs
@@ -34,9 +34,9 @@
 const DOUBT: [f64; 2] = [1.5, -1.0];
 /// How fast refusals grow stricter with the share of own answers that come late, in these two cases.
 const LATE: [f64; 2] = [6.0, 2.0];
-/// How much less a forecast may miss for each (logarithm of) time that a tenant had its part of what was
-/// sent, as far as work beyond a share is worth less, and the most of that.
-const BEYOND: (f64, f64) = (6.5, 6.0);
+/// How much less a forecast may miss for each (logarithm of) time that a tenant had its quota, as far as
+/// work beyond it is worth less, and the most of that.
+const BEYOND: (f64, f64) = (6.0, 6.0);
 /// Reported load, for each unit of stated size, from which on a time-out tells of a full fleet.
 const BUSY: f64 = 0.5;
 /// Time (microseconds) in which most of what was learnt of late answers is forgotten.
@@ -359,6 +359,7 @@
                 known.push((b.load, b.capacity));
             }
         }
+        self.learn_part(&known, passed);
         if !known.is_empty() {
             let count = known.len() as f64;
             self.mean_load = usual_load(&known, self.sight());
--- a/crates/decision/src/state.rs
+++ b/crates/decision/src/state.rs
@@ -164,7 +164,7 @@
     pub(crate) awaiting: Vec<RequestId>,
     /// Where the keys go first that it is asked for.
     pub(crate) homes: Homes,
-    /// What was sent of late for each tenant.
+    /// What was sent of late for each tenant, and the own part of all.
     pub(crate) tenants: Tenants,
     /// Smoothed work of each class.
     pub(crate) class_work: Vec<f64>,
@@ -274,7 +274,7 @@
 
     pub(crate) fn blank(settings: Settings, rng: Xoshiro128PlusPlus, now: Micros) -> Self {
         Balancer {
-            tenants: Tenants::new(&settings.tenants),
+            tenants: Tenants::new(&settings.tenants, settings.balancers),
             settings,
             rng,
             now,
