--- a/crates/fleet/src/tenants.rs
+++ b/crates/fleet/src/tenants.rs
@@ -4,17 +4,21 @@
 //! is there for all. A sidecar sees only its own part of the traffic, and traffic is uneven: one of five may
 //! carry half of it. Its part of each quota is its part of what the servers hold, which reports tell it.
 
-/// Time (microseconds) in which most of what was sent is forgotten: long enough to know a tenant by.
+use crate::sight;
+
+/// Time (microseconds) in which most of what was sent is forgotten by one that sees enough by itself. One of
+/// three hundred sends two requests a second: what looked like too much of a tenant's was chance, and on a
+/// calm day a tenth was refused for it.
 const LATELY: f64 = 5e6;
 /// Requests that each sidecar counts as sent and as allowed before any, by the quotas.
 const ASSUMED: f64 = 10.0;
-/// Time (microseconds) over which the own part is smoothed.
+/// Time (microseconds) over which the own part is smoothed, likewise.
 const PART: f64 = 10e6;
 /// Requests that count as held by the servers before any report, evenly for all sidecars.
 const FIRST: f64 = 3.0;
 
 /// What was sent of late for each tenant, and this sidecar's part of what the servers hold.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Tenants {
     quotas: Vec<f64>,
     all: f64,
@@ -23,6 +27,7 @@
     /// Smoothed number of requests that the servers hold, in all and from here.
     held: (f64, f64),
     sidecars: f64,
+    sight: f64,
 }
 
 impl Tenants {
@@ -32,11 +37,19 @@
         let sane = |q: &f64| if (0.0..1e12).contains(q) { *q } else { 0.0 };
         let quotas: Vec<f64> = quotas.iter().map(sane).collect();
         let (all, sent) = (quotas.iter().sum(), vec![0.0; quotas.len()]);
-        Tenants { quotas, all, sent, as_of: 0, held: (0.0, 0.0), sidecars: sidecars.max(1) as f64 }
+        Tenants {
+            quotas,
+            all,
+            sent,
+            as_of: 0,
+            held: (0.0, 0.0),
+            sidecars: sidecars.max(1) as f64,
+            sight: sight(sidecars),
+        }
     }
 
     fn kept(&self, now: i64) -> f64 {
-        (-((now - self.as_of).max(0) as f64) / LATELY).exp()
+        (-((now - self.as_of).max(0) as f64) * self.sight / LATELY).exp()
     }
 
     /// Something was sent for a tenant, at a time in microseconds.
@@ -52,7 +65,7 @@
     /// For so long (microseconds) the servers have held so many requests, so many of them from here.
     pub fn held(&mut self, fleet: f64, own: f64, passed: f64) {
         if fleet.is_finite() && passed > 0.0 {
-            let weight = 1.0 - (-passed / PART).exp();
+            let weight = 1.0 - (-passed * self.sight / PART).exp();
             self.held.0 += (fleet - self.held.0) * weight;
             self.held.1 += (own - self.held.1) * weight;
         }
@@ -68,7 +81,7 @@
     pub fn beyond(&self, tenant: usize, now: i64) -> f64 {
         let Some(quota) = self.quotas.get(tenant).copied().filter(|q| *q > 0.0) else { return 0.0 };
         let assumed = ASSUMED * quota / self.all;
-        let allowed = self.part() * quota * LATELY / 1e6;
+        let allowed = self.part() * quota * LATELY / self.sight / 1e6;
         ((self.sent[tenant] * self.kept(now) + assumed) / (allowed + assumed)).ln().max(0.0)
     }
 }
@@ -76,6 +89,7 @@
 #[cfg(test)]
 mod tests {
     use super::*;
+    use rand_core::SeedableRng;
 
     /// Sends 1,500 requests of tenants in this order over and over, ten milliseconds apart.
     fn after(tenants: &mut Tenants, order: &[usize]) -> i64 {
@@ -113,6 +127,21 @@
         assert!((tenants.part() - 0.25).abs() < 0.05, "an idle fleet tells nothing");
     }
 
+    /// One of three hundred sends two requests a second: on a calm day a tenth was refused for what chance did.
+    #[test]
+    fn chance_puts_nobody_beyond_a_quota_in_a_large_fleet() {
+        let mut rng = rand_xoshiro::Xoshiro128PlusPlus::seed_from_u64(4);
+        let mut tenants = Tenants::new(&[450.0, 78.0, 72.0], 300);
+        let mut most = 0.0_f64;
+        for i in 0..120 {
+            let at = crate::draw::uniform(&mut rng);
+            let tenant = crate::draw::pick([0.75, 0.13, 0.12], at).expect("shares");
+            tenants.sent(tenant, i * 500_000);
+            most = most.max(tenants.beyond(tenant, i * 500_000));
+        }
+        assert!(most < 0.1, "{most:.2}");
+    }
+
     #[test]
     fn a_few_requests_tell_little_and_odd_quotas_nothing() {
         let mut tenants = Tenants::new(&[50.0, 50.0], 1000);
