Let the laboratory play keyed work, with an oracle on repeats that no server would drop

Change: classes of effect keyed (group, window) with a key per flow in every try; ledger::ran breaks SecondRun where a repeat is outside the first run's group or window; a key that does not pass on breaks Unknown.

--- a/crates/emulator/src/client.rs
+++ b/crates/emulator/src/client.rs
@@ -87,9 +87,10 @@
     let body =
         if class.effect == Effect::Safe { "" } else { "{\"design\":\"W-1200x900\",\"profile\":\"A\"}" };
     let length = if body.is_empty() { String::new() } else { format!("Content-Length: {}\r\n", body.len()) };
+    let key = plan.key_of(flow).map_or(String::new(), |key| format!("Idempotency-Key: {key}\r\n"));
     let text = format!(
         "{method} /{name}{object} HTTP/1.1\r\nHost: origin.svc\r\nRequest-Id: {id:016x}\r\n\
-         Request-Class: {name}\r\nTenant: {tenant}\r\nRequest-Timeout: {wait:.3}\r\n{length}\r\n{body}",
+         Request-Class: {name}\r\nTenant: {tenant}\r\nRequest-Timeout: {wait:.3}\r\n{key}{length}\r\n{body}",
         name = class.name,
         tenant = plan.day.tenants[arrival.tenant].name,
         wait = patience / 1e3,
--- a/crates/emulator/src/day.rs
+++ b/crates/emulator/src/day.rs
@@ -191,7 +191,7 @@
         pause_ms: Range = Range::two(0.0, 100.0),
         /// Share of requests answered with an error.
         error_rate: Range = Range::two(0.0, 0.002),
-        /// Whether waiting work is dropped when its sidecar hangs up: `none` or `queued`.
+        /// Which work is dropped when its sidecar hangs up: `none`, `queued` or `all`.
         cancel: Cancel = Cancel::None,
     }
 }
@@ -204,6 +204,8 @@
     None,
     /// What still waits.
     Queued,
+    /// What is in work too.
+    All,
 }
 
 figures! {
@@ -231,6 +233,8 @@
         report_delay_ms: Range = Range::two(2.0, 120.0),
         /// Spread of their noise.
         report_noise: Range = Range::two(0.05, 0.19),
+        /// Whether every answer brings a report, and not only probes.
+        report_in_answers: bool = false,
         /// Share of its work that a request of a key met lately saves.
         key_gain: Range = Range::two(0.37, 0.7),
         /// How long a key counts as met lately (s).
@@ -297,17 +301,35 @@
         worth: f64 = 2.0,
         /// Whether it may run again.
         effect: Effect = Effect::Safe,
+        /// Who drops a repeat of keyed work: `all` servers, those of a `zone` or of a `cell`.
+        group: Group = Group::Cell,
+        /// For how long after the first run (ms).
+        window_ms: f64 = 4000.0,
     }
 }
 
 /// What a repeat of a request would do.
-#[derive(Clone, Copy, Debug, Deserialize, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Deserialize, PartialEq, Eq, Hash)]
 #[serde(rename_all = "lowercase")]
 pub enum Effect {
     /// Nothing more.
     Safe,
     /// Harm: it must never run twice.
     Unsafe,
+    /// Nothing more inside a group of servers and for a while, which drop it by its key; else harm.
+    Keyed,
+}
+
+/// Servers that drop each other's repeats of keyed work.
+#[derive(Clone, Copy, Debug, Deserialize, PartialEq, Eq)]
+#[serde(rename_all = "lowercase")]
+pub enum Group {
+    /// All of them.
+    All,
+    /// Those of one zone.
+    Zone,
+    /// Those of one cell.
+    Cell,
 }
 
 figures! {
@@ -428,6 +450,8 @@
     Pauses,
     /// A zone's servers are lost (and its sidecars, with `sidecars`); they come back cold.
     ZoneLoss,
+    /// `part` of the servers are lost, wherever they stand; they come back cold.
+    Vanish,
     /// `part` of the servers drain one after another and go.
     Shrink,
     /// The list runs `size` seconds further behind.
@@ -564,6 +588,8 @@
             want(class.aim_ms > 0.0, format!("{key}: aim_ms is not above 0: {}", class.aim_ms));
             let deadline = class.deadline_ms;
             want(deadline >= class.aim_ms, format!("{key}: deadline_ms is below aim_ms: {deadline}"));
+            let window = class.window_ms;
+            want(window > 0.0, format!("{key}: window_ms is not above 0: {window}"));
         }
         let sockets = self.limits.sockets;
         want(sockets >= 64, format!("limits.sockets is below 64: {sockets}"));
--- a/crates/emulator/src/fleet.rs
+++ b/crates/emulator/src/fleet.rs
@@ -2,7 +2,7 @@
 
 use crate::fabric::Fabric;
 use crate::http::{answer_bytes, Request, Unread, Wire};
-use crate::ledger::{AttemptEnd, Rule};
+use crate::ledger::{AttemptEnd, Place, Rule};
 use crate::plan::{factor, hashed};
 use crate::server::{Done, Job, Phase, Server, TurnedAway};
 use crate::spoil;
@@ -67,6 +67,14 @@
         }
     }
 
+    /// What it says of its load, as probes and answers bring it.
+    fn report<F: Fabric>(&self, world: &World<F>) -> String {
+        let now = world.now();
+        let draw = hashed(world.plan.seed, &[11, self.number as u64, now as u64]);
+        let report = self.with(now, |m| m.report(draw));
+        format!("TEXT inflight={}, queue={}, util={:.2}", report.inflight, report.queue, report.util)
+    }
+
     /// Touches the model and changes it.
     pub fn with<T>(&self, now: f64, change: impl FnOnce(&mut Server) -> T) -> T {
         self.touch(now);
@@ -263,12 +271,9 @@
             world.until(paused).await;
         }
     }
-    let report = member.with(world.now(), |m| {
-        m.probing -= 1;
-        m.report(hashed(world.plan.seed, &[11, member.number as u64, world.now() as u64]))
-    });
+    member.with(world.now(), |m| m.probing -= 1);
+    let text = member.report(world);
     world.sleep(way).await;
-    let text = format!("TEXT inflight={}, queue={}, util={:.2}", report.inflight, report.queue, report.util);
     let answer = match (full, stats) {
         (true, _) => answer_bytes(503, &[], b""),
         (false, true) => answer_bytes(200, &[], text.as_bytes()),
@@ -315,6 +320,12 @@
     };
     let open = Open { world: world.clone(), attempt };
     let flow = world.ledger.borrow().tries[attempt.0].flow;
+    let key = plan.key_of(flow);
+    if key.is_some() && request.header("idempotency-key") != key.as_deref() {
+        let what = format!("id {id:016x} without the key that its client sent");
+        world.ledger.borrow_mut().broke(now, Rule::Unknown, Some(sidecar), Some(flow), what);
+        return wire.write(&answer_bytes(400, &[], b"nobody asked that\n")).await.is_ok();
+    }
     let arrival = &plan.arrivals[flow];
     let draws = |what: u64| hashed(plan.seed, &[what, id, attempt.1 as u64]);
     let noise =
@@ -356,7 +367,11 @@
             return wire.write(&answer_bytes(503, &headers, b"")).await.is_ok() && !crowded;
         }
     };
-    world.ledger.borrow_mut().ran(plan, now, attempt);
+    let place = {
+        let model = member.model.borrow();
+        Place { zone: model.plan.zone, cell: model.plan.cell }
+    };
+    world.ledger.borrow_mut().ran(plan, now, attempt, place);
     let done = loop {
         tokio::select! {
             biased;
@@ -398,7 +413,9 @@
             ledger.made(attempt.0, body.clone());
         }
     }
-    let bytes = spoil.map_or_else(|| answer_bytes(200, &[], &body), |s| s.bytes(&body));
+    let report = plan.day.server.report_in_answers.then(|| member.report(world));
+    let headers: Vec<_> = report.into_iter().map(|text| ("server-load", text)).collect();
+    let bytes = spoil.map_or_else(|| answer_bytes(200, &headers, &body), |s| s.bytes(&body));
     drop(open);
     wire.write(&bytes).await.is_ok()
 }
--- a/crates/emulator/src/ledger.rs
+++ b/crates/emulator/src/ledger.rs
@@ -3,6 +3,7 @@
 //! Nothing here comes from a sidecar's counters. A rule that is broken becomes a [`Violation`] at the
 //! moment it shows; the rules are the platform's, with its figures and its slack.
 
+use crate::day::{Effect, Group};
 use crate::plan::Plan;
 use bytes::Bytes;
 use serde::Serialize;
@@ -28,7 +29,7 @@
     ServedBad,
     /// A bad client gets an error or a close within its time.
     BadUnanswered,
-    /// An unsafe request never runs twice.
+    /// An unsafe request never runs twice, nor a keyed one where no server would drop the repeat.
     SecondRun,
     /// Nothing new goes to a server past the grace of its drain.
     PastDrain,
@@ -175,6 +176,15 @@
     bodies: Vec<Bytes>,
 }
 
+/// The groups that a server belongs to.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Place {
+    /// Its zone.
+    pub zone: usize,
+    /// Its cell.
+    pub cell: u64,
+}
+
 /// The books of a day.
 #[derive(Debug, Default)]
 pub struct Ledger {
@@ -191,8 +201,9 @@
     told: BTreeMap<(usize, usize), f64>,
     /// When the list told of it, to anybody who asks.
     leaving: BTreeMap<usize, f64>,
-    /// Times that each flow of an unsafe class was taken into work, by `Request-Id`.
-    runs: HashMap<u64, u32>,
+    /// Where and when each request of an unsafe class (by `Request-Id`) or a keyed one (by its flow) first
+    /// ran, and how often.
+    runs: HashMap<(Effect, u64), (Place, f64, u32)>,
     /// Probes by server.
     pub probes: BTreeMap<usize, u64>,
     /// Connections opened, by server.
@@ -312,16 +323,27 @@
         Some((at, number))
     }
 
-    /// A server has taken an attempt in: from here on it may run.
-    pub fn ran(&mut self, plan: &Plan, now: f64, (at, number): (usize, usize)) {
+    /// A server has taken an attempt in: from here on it may run. A repeat of keyed work does no harm where the
+    /// first run is known: in its group, and while that remembers.
+    pub fn ran(&mut self, plan: &Plan, now: f64, (at, number): (usize, usize), place: Place) {
         let one = &mut self.tries[at];
         one.attempts[number].ran = true;
-        let arrival = &plan.arrivals[one.flow];
         let (flow, id) = (one.flow, one.id);
-        let runs = self.runs.entry(id).or_default();
+        let arrival = &plan.arrivals[flow];
+        let class = plan.class(arrival);
+        let of = if class.effect == Effect::Keyed { flow as u64 } else { id };
+        let (first, since, runs) = self.runs.entry((class.effect, of)).or_insert((place, now, 0));
         *runs += 1;
-        if *runs > 1 && plan.is_unsafe(arrival.class) {
-            let what = format!("run {runs} of an unsafe request");
+        let together = match class.group {
+            Group::All => true,
+            Group::Zone => first.zone == place.zone,
+            Group::Cell => first.cell == place.cell,
+        };
+        let dropped = together && now - *since <= class.window_ms + plan.day.limits.slack_ms;
+        let harmless =
+            *runs == 1 || class.effect == Effect::Safe || (class.effect == Effect::Keyed && dropped);
+        let what = format!("run {runs} in {place:?}, {:.0} ms after the first in {first:?}", now - *since);
+        if !harmless {
             self.broke(now, Rule::SecondRun, Some(arrival.sidecar), Some(flow), what);
         }
     }
--- a/crates/emulator/src/plan.rs
+++ b/crates/emulator/src/plan.rs
@@ -214,6 +214,8 @@
     pub servers: Vec<ServerPlan>,
     /// Sidecars.
     pub sidecars: Vec<SidecarPlan>,
+    /// Each tenant's quota (requests a second).
+    pub quotas: Vec<f64>,
     /// Arrivals in order of time.
     pub arrivals: Vec<Arrival>,
     /// Troubles in the order of the file.
@@ -334,8 +336,19 @@
             timeout: f.timeout_ms,
         };
         let network = (d.of(day.network.same_ms), d.of(day.network.cross_ms), d.of(day.network.jitter));
-        let arrivals = arrivals(day, seed, &servers, &sidecars, &troubles);
-        Plan { day: day.clone(), seed, servers, sidecars, arrivals, troubles, clients, discovery, network }
+        let (quotas, arrivals) = arrivals(day, seed, &servers, &sidecars, &troubles);
+        Plan {
+            day: day.clone(),
+            seed,
+            servers,
+            sidecars,
+            quotas,
+            arrivals,
+            troubles,
+            clients,
+            discovery,
+            network,
+        }
     }
 
     /// A new server for a place that is free: drawn by its number, the same in every play.
@@ -357,9 +370,10 @@
         capacity_of(&self.servers)
     }
 
-    /// Whether a class must never run twice.
-    pub fn is_unsafe(&self, class: usize) -> bool {
-        self.day.classes[class].effect == Effect::Unsafe
+    /// The `Idempotency-Key` of a flow, equal in all its tries; `None` where its class has none.
+    pub fn key_of(&self, flow: usize) -> Option<String> {
+        let keyed = self.class(&self.arrivals[flow]).effect == Effect::Keyed;
+        keyed.then(|| format!("{:016x}", hashed(self.seed, &[23, flow as u64]).to_bits()))
     }
 }
 
@@ -419,7 +433,7 @@
     servers: &[ServerPlan],
     sidecars: &[SidecarPlan],
     troubles: &[TroublePlan],
-) -> Vec<Arrival> {
+) -> (Vec<f64>, Vec<Arrival>) {
     let mut d = Draws(stream(seed, Purpose::Arrivals));
     let class_sum: f64 = day.classes.iter().map(|c| c.share).sum();
     let tenant_sum: f64 = day.tenants.iter().map(|t| t.share).sum();
@@ -448,13 +462,14 @@
     let mut purses: Vec<(f64, f64)> =
         day.tenants.iter().map(|t| (t.share / tenant_sum * quota, 0.0)).collect();
     let purse_caps: Vec<f64> = purses.iter().map(|p| p.0).collect();
+    let quotas = purse_caps.clone();
     let mut arrivals = Vec::new();
-    let Ok(gaps) = Exp::new(peak / 1e3) else { return arrivals };
+    let Ok(gaps) = Exp::new(peak / 1e3) else { return (quotas, arrivals) };
     let mut at = 0.0;
     loop {
         at += gaps.sample(&mut d.0);
         if at >= length {
-            return arrivals;
+            return (quotas, arrivals);
         }
         if d.0.random::<f64>() * peak >= rate_at(at) {
             continue;
--- a/crates/emulator/src/server.rs
+++ b/crates/emulator/src/server.rs
@@ -388,14 +388,18 @@
         self.fallen
     }
 
-    /// Its sidecar hung up: drops what still waits, where the kind does that.
+    /// Its sidecar hung up: drops what still waits, and what is in work, where the kind does that.
     pub fn hang_up(&mut self, id: u64) -> bool {
         if self.plan.cancel == Cancel::None {
             return false;
         }
-        let before = self.waiting.len();
+        let before = self.held();
         self.waiting.retain(|w| w.id != id);
-        self.waiting.len() < before
+        if self.plan.cancel == Cancel::All {
+            self.running.retain(|w| w.id != id);
+            self.fill();
+        }
+        self.held() < before
     }
 
     /// Work that belongs to no request.
@@ -553,6 +557,20 @@
         assert_eq!(ends(&mut s, 400.0), [(1, 350.0)]);
     }
 
+    #[test]
+    fn a_hang_up_drops_what_the_kind_drops() {
+        for (cancel, first, second) in
+            [(Cancel::None, false, false), (Cancel::Queued, false, true), (Cancel::All, true, true)]
+        {
+            let mut s = server();
+            (s.plan.slots, s.plan.cancel) = (1, cancel);
+            s.offer(job(1, 100.0)).expect("room");
+            s.offer(job(2, 100.0)).expect("room");
+            assert_eq!((s.hang_up(2), s.hang_up(1)), (second, first), "{cancel:?}");
+            assert_eq!(s.held(), 2 - usize::from(first) - usize::from(second), "{cancel:?}");
+        }
+    }
+
     #[test]
     fn reports_come_late() {
         let mut s = server();
--- a/crates/lab/tests/lab.rs
+++ b/crates/lab/tests/lab.rs
@@ -87,6 +87,20 @@
     }
 }
 
+/// Servers that go silent and come back cold, slow ones, killed and restarted sidecars, a drain: no keyed write
+/// runs again where no server would drop it, and every flow is answered.
+#[test]
+fn keyed_work_is_done_once_through_overlapping_faults() {
+    let (_folder, out) = folder();
+    for seed in ["1", "4"] {
+        let done = lab(&["run", "lab/days/keyed-faults.toml", "--seed", seed, "--out", &out]);
+        assert!(done.status.success(), "{}", text(&done.stdout));
+        let result = std::fs::read_to_string(format!("{out}/result.json")).expect("a result");
+        let value: serde_json::Value = serde_json::from_str(&result).expect("JSON");
+        assert!(value["flows"]["taken"].as_u64() > Some(3000), "{}", value["flows"]);
+    }
+}
+
 #[test]
 fn claims_are_held_against_their_bounds() {
     let folder = tempfile::tempdir().expect("a folder");
