--- a/crates/platform/src/discovery.rs
+++ b/crates/platform/src/discovery.rs
@@ -29,6 +29,81 @@
     pub unread: usize,
 }
 
+/// Cuts what comes on a watch into objects: one a line, or indented over several.
+#[derive(Debug, Default)]
+pub struct Cutter {
+    /// What came of the line that is coming in.
+    line: Vec<u8>,
+    /// Lines of an object that is not whole yet.
+    object: Vec<u8>,
+    /// How many brackets of it are open.
+    open: i64,
+}
+
+/// What a watch has sent.
+#[derive(Debug, PartialEq)]
+pub enum Piece {
+    /// An empty line: nothing has changed.
+    Beat,
+    /// A line of an object that goes on.
+    Part,
+    /// What should be an object.
+    Object(Vec<u8>),
+}
+
+impl Cutter {
+    /// Takes what came, and hands out each line's meaning once the line has ended.
+    pub fn take(&mut self, text: &[u8], mut piece: impl FnMut(Piece)) {
+        for part in text.split_inclusive(|b| *b == b'\n') {
+            self.line.extend_from_slice(part);
+            if part.ends_with(b"\n") {
+                let line = std::mem::take(&mut self.line);
+                self.end_line(line.trim_ascii(), &mut piece);
+            }
+        }
+    }
+
+    fn end_line(&mut self, line: &[u8], piece: &mut impl FnMut(Piece)) {
+        if line.is_empty() {
+            return piece(if self.object.is_empty() { Piece::Beat } else { Piece::Part });
+        }
+        let opened = brackets(line);
+        // A whole list on a line of its own, behind one that was cut short: the latter's end will not come.
+        if !self.object.is_empty() && opened == 0 && line.starts_with(b"{") && read(line).is_ok() {
+            piece(Piece::Object(std::mem::take(&mut self.object)));
+            self.open = 0;
+        }
+        self.open += opened;
+        self.object.extend_from_slice(line);
+        if self.open > 0 && self.object.starts_with(b"{") {
+            return piece(Piece::Part);
+        }
+        self.open = 0;
+        piece(Piece::Object(std::mem::take(&mut self.object)));
+    }
+
+    /// Bytes held of what has not ended.
+    pub fn held(&self) -> usize {
+        self.object.len() + self.line.len()
+    }
+}
+
+/// How many more brackets a line opens than it closes. A string does not go over a line's end.
+fn brackets(line: &[u8]) -> i64 {
+    let (mut open, mut text, mut escaped) = (0, false, false);
+    for byte in line {
+        match byte {
+            _ if escaped => escaped = false,
+            b'\\' if text => escaped = true,
+            b'"' => text = !text,
+            b'{' | b'[' if !text => open += 1,
+            b'}' | b']' if !text => open -= 1,
+            _ => {}
+        }
+    }
+    open
+}
+
 /// Reads a list from its text.
 pub fn read(text: &[u8]) -> Result<Listing, String> {
     let value: Value = serde_json::from_slice(text).map_err(|e| format!("not JSON: {e}"))?;
@@ -67,3 +142,42 @@
         },
     })
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn pieces(texts: &[&str]) -> (Vec<Piece>, usize) {
+        let (mut cutter, mut pieces) = (Cutter::default(), Vec::new());
+        texts.iter().for_each(|t| cutter.take(t.as_bytes(), |p| pieces.push(p)));
+        (pieces, cutter.held())
+    }
+
+    fn objects(texts: &[&str]) -> Vec<String> {
+        let object = |p| if let Piece::Object(o) = p { String::from_utf8(o).ok() } else { None };
+        pieces(texts).0.into_iter().filter_map(object).collect()
+    }
+
+    #[test]
+    fn objects_come_one_a_line_or_indented_and_in_any_cut() {
+        let list =
+            serde_json::json!({"revision": 7, "complete": true, "members": [{"id": "a}\"{", "x": [1]}]});
+        for text in [list.to_string(), serde_json::to_string_pretty(&list).unwrap_or_default()] {
+            for at in 0..=text.len() {
+                let (a, b) = text.split_at(at);
+                let got = objects(&[a, b, "\n\n"]);
+                assert_eq!(got.len(), 1, "{got:?}");
+                assert_eq!(serde_json::from_str::<Value>(&got[0]).ok().as_ref(), Some(&list));
+            }
+        }
+    }
+
+    #[test]
+    fn only_a_line_that_ends_is_heard_and_what_is_cut_short_hides_nothing() {
+        assert_eq!(pieces(&["{\"revision\":4"]), (Vec::new(), 13));
+        assert_eq!(pieces(&["\r\n", "\n"]), (vec![Piece::Beat, Piece::Beat], 0));
+        let whole = "{\"revision\":8,\"complete\":false,\"members\":[]}";
+        let got = objects(&["{\"revision\":4,\n", whole, "\nno list\n]\n", whole, "\n"]);
+        assert_eq!(got, ["{\"revision\":4,", whole, "no list", "]", whole]);
+    }
+}
--- a/crates/routing/src/admit.rs
+++ b/crates/routing/src/admit.rs
@@ -6,14 +6,14 @@
 impl Host {
     /// Whether the module shall see the flow. Else it is answered here: none of it ran, so it is
     /// refused.
-    pub(super) fn admits(&mut self, id: FlowId, time_left: f64) -> bool {
+    pub(super) fn admits(&mut self, now: f64, id: FlowId, time_left: f64) -> bool {
         // Against memory without bound where clients open flows faster than they are answered; and
         // against work for a client that has no time left to hear of it.
         let room = self.flows.len() <= self.settings.network.max_open;
         let admitted = room && time_left > 0.0;
         if !admitted {
             self.book.turned_back += 1;
-            self.answer(id, Answer::Refused { retry_after: 0.0 });
+            self.answer(now, id, Answer::Refused { retry_after: 0.0 });
         }
         admitted
     }
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod flow;
 pub mod relay;
 pub mod route;
+mod rules;
 pub mod send;
 pub mod take_in;
 pub mod time;
@@ -23,7 +24,7 @@
 use book::Book;
 use decide::Decider;
 use flow::{FlowId, ForwardId, Order, Target};
-use roseproxy_decision::interface::{Action, Micros, Outcome, Readiness, ServerId, Settings};
+use roseproxy_decision::interface::{Action, ClassId, Micros, Outcome, Readiness, ServerId, Settings};
 use roseproxy_decision::policy::Balancer;
 use std::collections::{HashMap, VecDeque};
 use timers::{Due, Timers};
@@ -37,14 +38,33 @@
 struct Flow {
     /// When its answer must be out, in clock time.
     deadline: f64,
+    /// Its class.
+    class: ClassId,
     /// Forwards sent so far.
     attempts: usize,
+    /// Those of them that may have run, or may yet.
+    written: Vec<Written>,
 }
 
 #[derive(Debug)]
 struct Forward {
     target: ServerId,
     sent: f64,
+    /// Whether its first byte has gone out, as far as this host was asked.
+    written: bool,
+}
+
+/// A forward that was written to a target, as the rules on repeats see it.
+#[derive(Debug)]
+struct Written {
+    attempt: usize,
+    /// When it was sent.
+    sent: f64,
+    /// The groups that its target belongs to.
+    zone: u32,
+    cell: u32,
+    /// Whether it is still out.
+    out: bool,
 }
 
 #[derive(Debug)]
@@ -78,6 +98,8 @@
     orders: VecDeque<Order>,
     last_flow: FlowId,
     last_probe: u64,
+    /// Where lists are pushed: calls to discovery that failed in a row.
+    failed_calls: u32,
     /// What came in, went out and was answered.
     pub book: Book,
 }
@@ -91,6 +113,9 @@
 
     /// A host of whoever decides.
     pub fn with(settings: Settings, balancer: Box<dyn Decider>) -> Host {
+        // Where lists are pushed the module asks for none, and what discovery has to tell counts as told from
+        // the first moment on: the host itself keeps the watch open then.
+        let first = (!settings.must_subscribe).then_some(Order::Watch);
         Host {
             balancer,
             settings,
@@ -100,9 +125,10 @@
             timers: Timers::default(),
             endings: VecDeque::new(),
             actions: Vec::new(),
-            orders: VecDeque::new(),
+            orders: first.into_iter().collect(),
             last_flow: 0,
             last_probe: 0,
+            failed_calls: 0,
             book: Book::default(),
         }
     }
@@ -125,6 +151,7 @@
                 Due::Forward(id) => self.forward_overdue(now, id),
                 Due::Flow(id) => self.flow_overdue(now, id),
                 Due::Probe(target, number) => self.probe_overdue(now, target, number),
+                Due::Watch => self.orders.push_back(Order::Watch),
             }
         }
     }
--- a/crates/routing/src/route.rs
+++ b/crates/routing/src/route.rs
@@ -38,9 +38,9 @@
             Action::Send { request, server, timeout } => self.send(now, request, server, timeout),
             Action::Cancel { request, attempt } => self.cancel(now, request, attempt),
             Action::Refuse { request, retry_after } => {
-                self.answer(request, Answer::Refused { retry_after: time::to_millis(retry_after) });
+                self.answer(now, request, Answer::Refused { retry_after: time::to_millis(retry_after) });
             }
-            Action::Fail { request } => self.answer(request, Answer::Failed),
+            Action::Fail { request } => self.answer(now, request, Answer::Failed),
             Action::Timer { token, after } => {
                 self.timers.set(now + time::to_millis(after), Due::Module(token));
             }
--- a/crates/routing/src/send.rs
+++ b/crates/routing/src/send.rs
@@ -22,7 +22,7 @@
             return self.end_unsent(id, target);
         };
         self.book.forwards += 1;
-        self.forwards.insert(id, Forward { target, sent: now });
+        self.forwards.insert(id, Forward { target, sent: now, written: false });
         self.timers.set(now + patience, Due::Forward(id));
         self.orders.push_back(Order::Forward { id, target, address, patience });
     }
@@ -42,19 +42,27 @@
         })
     }
 
-    /// Asked right before a forward's first byte: false where it shall not be written any more. The
-    /// front then reports it as [`Outcome::NotSent`].
-    pub fn may_write(&self, now: f64, id: ForwardId) -> bool {
-        self.forwards.get(&id).is_some_and(|f| self.takes_work(now, f.target))
+    /// Asked right before a forward's first byte, which may come long after the decision, as connections come
+    /// up late: false where it shall not be written any more. The front then reports it as
+    /// [`Outcome::NotSent`]. Where it is true, the forward counts as written.
+    pub fn begin_write(&mut self, now: f64, id: ForwardId) -> bool {
+        let Some(forward) = self.forwards.get(&id) else { return false };
+        let (target, sent) = (forward.target, forward.sent);
+        if !self.takes_work(now, target) || !self.may_join(now, id, target) {
+            return false;
+        }
+        self.note_written(id, target, sent);
+        true
     }
 
     /// A forward has ended on the network. One that was given up before is heard no more.
     pub fn forward_ended(&mut self, now: f64, id: ForwardId, end: ForwardEnd, load: Option<Load>) {
         let Some(forward) = self.forwards.remove(&id) else { return };
         let outcome = end.outcome();
+        self.note_ended(id, outcome);
         self.book.ended(outcome);
         if let ForwardEnd::Served(body) = end {
-            self.answer(id.flow, Answer::Served(body));
+            self.answer(now, id.flow, Answer::Served(body));
         }
         let event = Event::Ended {
             request: id.flow,
@@ -76,10 +84,15 @@
     }
 
     pub(super) fn cancel(&mut self, now: f64, flow: FlowId, attempt: usize) {
-        let id = ForwardId { flow, attempt };
+        self.call_off(now, ForwardId { flow, attempt }, Outcome::Cancelled);
+    }
+
+    /// Stops a forward that is out; the module hears of its end with all that comes of the present event.
+    pub(super) fn call_off(&mut self, now: f64, id: ForwardId, outcome: Outcome) {
         let Some(forward) = self.forwards.remove(&id) else { return };
+        self.note_ended(id, outcome);
         self.orders.push_back(Order::GiveUp(id));
         let (target, elapsed) = (forward.target, now - forward.sent);
-        self.endings.push_back(Ending { id, target, outcome: Outcome::Cancelled, elapsed });
+        self.endings.push_back(Ending { id, target, outcome, elapsed });
     }
 }
--- a/crates/routing/src/take_in.rs
+++ b/crates/routing/src/take_in.rs
@@ -1,9 +1,14 @@
 //! Stage 1: a request becomes a flow, and the list becomes the target group.
 
 use super::flow::{FlowId, NewFlow, Target};
+use super::timers::Due;
 use super::{time, Flow, Host, Member, SPARE};
 use roseproxy_decision::interface::{Event, Readiness, Request, Server, Update};
 
+/// Where lists are pushed: the first and the longest pause before discovery is watched anew (ms). What its agent
+/// has counts as told at once, so that all of a drain's grace may be left when it is back.
+const PUSHED_PAUSE: (f64, f64) = (25.0, 200.0);
+
 impl Host {
     /// Takes a request that a client sent whole. From here on it is owed exactly one answer, which
     /// comes as an [`super::flow::Order::Answer`] with the id returned.
@@ -12,8 +17,9 @@
         let id = self.last_flow;
         self.book.taken += 1;
         let time_left = new.time_left - SPARE;
-        self.flows.insert(id, Flow { deadline: now + time_left, attempts: 0 });
-        if self.admits(id, time_left) {
+        let (class, deadline) = (new.class, now + time_left);
+        self.flows.insert(id, Flow { deadline, class, attempts: 0, written: Vec::new() });
+        if self.admits(now, id, time_left) {
             let request = Request {
                 id,
                 class: new.class,
@@ -31,7 +37,7 @@
     /// The client of a flow has left: nothing is owed any more, and its forwards are called off.
     pub fn client_gone(&mut self, now: f64, id: FlowId) {
         // An answer may have won the race; then the flow is not there any more.
-        if self.flows.remove(&id).is_some() {
+        if self.close_flow(now, id) {
             self.book.gone += 1;
             self.tell(now, Event::Expired { request: id });
         }
@@ -40,6 +46,7 @@
     /// News of the target group. Only a complete list removes those that it does not name.
     pub fn targets(&mut self, now: f64, update: Update, targets: &[Target]) {
         self.book.lists += 1;
+        self.failed_calls = 0;
         if update == Update::Complete {
             let named: std::collections::HashSet<_> = targets.iter().map(|t| t.id).collect();
             let absent = self.members.values_mut().filter(|m| !named.contains(&m.target.id));
@@ -66,6 +73,12 @@
     /// A call to discovery failed or the watch broke; the list in hand stays.
     pub fn targets_failed(&mut self, now: f64) {
         self.book.list_failures += 1;
+        if !self.settings.must_subscribe {
+            // The module asks for no list where they are pushed.
+            let pause = PUSHED_PAUSE.0 * f64::from(1 << self.failed_calls.min(8));
+            self.failed_calls = self.failed_calls.saturating_add(1);
+            self.timers.set(now + pause.min(PUSHED_PAUSE.1), Due::Watch);
+        }
         self.tell(now, Event::Servers { update: Update::Failed, servers: &[] });
     }
 
--- a/crates/routing/src/timers.rs
+++ b/crates/routing/src/timers.rs
@@ -16,6 +16,8 @@
     Flow(FlowId),
     /// A probe's patience ends; the number tells it from a later probe of the same target.
     Probe(ServerId, u64),
+    /// Where lists are pushed: discovery is to be watched anew.
+    Watch,
 }
 
 #[derive(Debug)]
--- a/crates/transport/src/connection.rs
+++ b/crates/transport/src/connection.rs
@@ -89,8 +89,13 @@
     /// Sends a request and reads its answer whole. It is sent once: a connection that turns out to be
     /// closed is an exchange that broke, with nothing sent again behind the caller's back.
     pub async fn exchange(&mut self, outgoing: Outgoing) -> Exchange {
+        self.exchange_up_to(outgoing, BODY_LIMIT).await
+    }
+
+    /// The same, with the longest body that is read.
+    pub async fn exchange_up_to(&mut self, outgoing: Outgoing, limit: usize) -> Exchange {
         match self.send(outgoing).await {
-            Ok(answer) => self.read(answer).await,
+            Ok(answer) => self.read(answer, limit).await,
             Err(broke) => broke,
         }
     }
@@ -103,20 +108,25 @@
             return Err(Exchange::Broke { last_byte_written: false });
         }
         self.whole_at = Some(self.meter.written() + outgoing.length);
-        let sent = self.sender.send_request(outgoing.request).await;
-        sent.map_err(|_| self.broke())
+        match self.sender.send_request(outgoing.request).await {
+            // A target begins once the last byte has come: what it says sooner is no answer to this request, and
+            // one that never comes whole never runs.
+            Ok(_) if !self.last_byte_written() => Err(self.broke()),
+            Ok(answer) => Ok(answer),
+            Err(_) => Err(self.broke()),
+        }
     }
 
-    async fn read(&mut self, answer: Response<Incoming>) -> Exchange {
+    async fn read(&mut self, answer: Response<Incoming>, limit: usize) -> Exchange {
         let (head, body) = answer.into_parts();
         // What is no answer to a request of ours: 101 hands the connection over to another protocol, and a
         // body said to be larger than the platform allows is not waited for.
         let stated = body.size_hint().lower();
-        if head.status == StatusCode::SWITCHING_PROTOCOLS || stated > BODY_LIMIT as u64 {
+        if head.status == StatusCode::SWITCHING_PROTOCOLS || stated > limit as u64 {
             return self.broke();
         }
         // Against a body without end: no more is read than the platform allows.
-        match Limited::new(body, BODY_LIMIT).collect().await {
+        match Limited::new(body, limit).collect().await {
             Ok(body) => {
                 self.whole_at = None;
                 Exchange::Answered(head.status, head.headers, body.to_bytes())
--- a/crates/transport/src/discovery.rs
+++ b/crates/transport/src/discovery.rs
@@ -4,10 +4,9 @@
 use super::length;
 use super::network::Network;
 use crate::connection::Exchange;
-use bytes::BytesMut;
 use http_body_util::BodyExt;
 use hyper::StatusCode;
-use roseproxy_platform::discovery::{self, Listing};
+use roseproxy_platform::discovery::{self, Cutter, Listing, Piece};
 use roseproxy_platform::request::Outgoing;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -16,10 +15,10 @@
 /// Time for a connection to come up, and for an answer to begin: calls wait in turn there (ms).
 const CONNECT: f64 = 1_000.0;
 const ANSWER: f64 = 3_000.0;
-/// A watch beats every 2 s; without a word for this long it is dead (ms).
+/// A watch beats every 2 s; without a line, or with an object that does not end, for this long it is dead (ms).
 const SILENCE: f64 = 3_000.0;
-/// Longest line that is read: against an object without end.
-const LONGEST_LINE: usize = 1 << 20;
+/// Longest list that is read: against one without end.
+const LONGEST_LIST: usize = 1 << 20;
 
 /// Keeps up with the target group.
 pub struct Watcher<N> {
@@ -63,6 +62,9 @@
                     () = moved(&mut moves) => self.revision = None,
                 }
             }
+            // A wish from before this failure was met by the watch that has just ended: what it left behind would
+            // start the next one at once, beside the pauses that keep all sidecars from calling together.
+            self.gateway.forget_watch_wish();
             self.gateway.targets_failed();
         }
     }
@@ -71,7 +73,7 @@
         let host = address.to_string();
         let mut connection = connect(self.gateway.network(), address, CONNECT).await?;
         if self.revision.is_none() {
-            let fetch = connection.exchange(Outgoing::get(discovery::LIST, &host));
+            let fetch = connection.exchange_up_to(Outgoing::get(discovery::LIST, &host), LONGEST_LIST);
             match tokio::time::timeout(length(ANSWER), fetch).await.ok()? {
                 Exchange::Answered(StatusCode::OK, _, body) => self.take(&body),
                 _ => return None,
@@ -87,18 +89,22 @@
             }
             return None;
         }
-        let (mut body, mut text) = (answer.into_body(), BytesMut::new());
+        let (mut body, mut cutter) = (answer.into_body(), Cutter::default());
+        // Half a line, or an object whose end does not come, is no sign of life.
+        let mut alive = self.gateway.now();
         loop {
-            let frame = tokio::time::timeout(length(SILENCE), body.frame()).await.ok()??.ok()?;
+            let left = alive + SILENCE - self.gateway.now();
+            let frame = tokio::time::timeout(length(left), body.frame()).await.ok()??.ok()?;
             let Ok(data) = frame.into_data() else { continue };
-            text.extend_from_slice(&data);
-            while let Some(end) = text.iter().position(|b| *b == b'\n') {
-                let line = text.split_to(end + 1);
-                if !line.trim_ascii().is_empty() {
-                    self.take(&line);
+            cutter.take(&data, |piece| {
+                match piece {
+                    Piece::Part => return,
+                    Piece::Beat => {}
+                    Piece::Object(text) => self.take(&text),
                 }
-            }
-            if text.len() > LONGEST_LINE {
+                alive = self.gateway.now();
+            });
+            if cutter.held() > LONGEST_LIST {
                 count(&self.gateway.traffic.bad_lists);
                 return None;
             }
--- a/crates/transport/src/gateway.rs
+++ b/crates/transport/src/gateway.rs
@@ -84,6 +84,8 @@
     /// When the timer task will wake, and how to wake it sooner.
     armed: Cell<f64>,
     rearm: Notify,
+    /// Whether routing wants discovery watched and no watch has begun since, and who waits to hear it.
+    watch_wish: Cell<bool>,
     watch: Notify,
 }
 
@@ -106,6 +108,7 @@
             probes: RefCell::default(),
             armed: Cell::new(f64::INFINITY),
             rearm: Notify::new(),
+            watch_wish: Cell::new(false),
             watch: Notify::new(),
         })
     }
@@ -171,7 +174,14 @@
 
     /// Waits until routing wants to watch discovery.
     pub async fn watch_wanted(&self) {
-        self.watch.notified().await;
+        while !self.watch_wish.take() {
+            self.watch.notified().await;
+        }
+    }
+
+    /// Forgets a wish to watch that has not been met.
+    pub(super) fn forget_watch_wish(&self) {
+        self.watch_wish.set(false);
     }
 
     /// Whether a request would find a target.
@@ -179,6 +189,12 @@
         self.host.borrow().can_serve()
     }
 
+    /// Answers all flows that are open as failed: the program is about to end.
+    pub fn fail_all(self: &Rc<Self>) {
+        self.host.borrow_mut().fail_all(self.now());
+        self.settle();
+    }
+
     /// Flows without an answer.
     pub fn open_flows(&self) -> usize {
         self.host.borrow().open_flows()
@@ -270,7 +286,10 @@
             }
             Order::GiveUpProbe(target) => drop(self.probes.borrow_mut().remove(&target)),
             Order::CloseIdle(target) => self.pool.borrow_mut().close(target),
-            Order::Watch => self.watch.notify_one(),
+            Order::Watch => {
+                self.watch_wish.set(true);
+                self.watch.notify_one();
+            }
         }
     }
 
@@ -303,7 +322,7 @@
         mut line: Line,
     ) -> (ForwardEnd, Option<Load>) {
         let now = self.now();
-        if !self.host.borrow().may_write(now, id) {
+        if !self.host.borrow_mut().begin_write(now, id) {
             self.keep(target, line);
             return (ForwardEnd::Lost(Outcome::NotSent), None);
         }
