--- a/crates/lab/src/virtual_time.rs
+++ b/crates/lab/src/virtual_time.rs
@@ -49,8 +49,10 @@
         self.memory.bind(address).await
     }
 
-    async fn accept(&self, listener: &MemoryListener) -> io::Result<MemoryStream> {
-        Ok(self.memory.accept(listener).await?.counted(&self.held))
+    async fn accept(&self, listener: &MemoryListener) -> io::Result<(MemoryStream, Quiet)> {
+        let stream = self.memory.accept(listener).await?.counted(&self.held);
+        let quiet = Box::new(stream.quiet());
+        Ok((stream, quiet))
     }
 
     async fn connect(&self, address: SocketAddr) -> io::Result<(MemoryStream, Quiet)> {
--- a/crates/roseproxy/src/start.rs
+++ b/crates/roseproxy/src/start.rs
@@ -20,9 +20,11 @@
 const LEAVING: f64 = 550.0;
 /// How long no connection may have come before the end (ms).
 const QUIET: f64 = 150.0;
-/// The platform counts a longest deadline below this as this (ms), and kills 700 ms after it.
-const SHORTEST_DEADLINE: f64 = 3_000.0;
-const BEFORE_KILL: f64 = 500.0;
+/// The platform kills this long after the longest deadline, which counts as no more than the second figure (ms).
+const KILL_AFTER: f64 = 700.0;
+const LONGEST_DEADLINE: f64 = 3_000.0;
+/// How long before the kill all that is still open is answered, and how long before it the program is gone (ms).
+const BEFORE_KILL: (f64, f64) = (150.0, 30.0);
 /// How often the end looks whether all is done (ms).
 const LOOK: f64 = 20.0;
 
@@ -49,8 +51,8 @@
     let Surroundings { network, clock, say, decider } = around;
     let socket = network.listen(config.listen).await;
     let socket = socket.map_err(|e| format!("listen: {}: {e}", config.listen))?;
-    let deadline =
-        config.settings.classes.iter().map(|c| to_millis(c.give_up)).fold(SHORTEST_DEADLINE, f64::max);
+    let longest = config.settings.classes.iter().map(|c| to_millis(c.give_up)).fold(0.0, f64::max);
+    let kill = longest.min(LONGEST_DEADLINE) + KILL_AFTER;
     let classes = Classes::new(config.dialect.clone(), config.settings.classes.clone());
     let host = match decider {
         None => Host::new(config.settings.clone(), config.seed, clock.now()),
@@ -77,23 +79,39 @@
     while asking.next().await == Asked::Reload {
         say(&reload.take(read()));
     }
-    end(&clock, &listener, &gateway, deadline).await;
+    let asked = clock.now();
+    say(&format!("told to end, {} flows open", gateway.open_flows()));
+    let unfinished = end(&clock, &listener, &gateway, kill).await;
+    say(&format!("ends after {:.0} ms, {unfinished} flows failed for want of time", clock.now() - asked));
     Ok(counts())
 }
 
-/// Serves on while clients still come, answers all that was taken, and returns when that is done or
-/// the kill is near.
-async fn end<N: Network>(clock: &Clock, listener: &Rc<Listener<N>>, gateway: &Rc<Gateway<N>>, deadline: f64) {
+/// Serves on while clients still come, answers all that was taken, and returns when that is done or the kill is
+/// near, so long after the signal (ms). Returns how many flows were failed then.
+async fn end<N: Network>(
+    clock: &Clock,
+    listener: &Rc<Listener<N>>,
+    gateway: &Rc<Gateway<N>>,
+    kill: f64,
+) -> usize {
     let asked = clock.now();
     listener.enter(Phase::Leaving);
     sleep(LEAVING).await;
     listener.enter(Phase::Closing);
-    while clock.now() - asked < deadline + BEFORE_KILL {
-        if gateway.open_flows() == 0 && listener.quiet_for(QUIET) {
-            return;
+    let until = |before: f64| {
+        let done = || gateway.open_flows() == 0 && listener.quiet_for(QUIET);
+        async move {
+            while clock.now() - asked < kill - before && !done() {
+                sleep(LOOK).await;
+            }
         }
-        sleep(LOOK).await;
-    }
+    };
+    until(BEFORE_KILL.0).await;
+    // What is open now would be lost with the program: a failure is an answer too.
+    let unfinished = gateway.open_flows();
+    gateway.fail_all();
+    until(BEFORE_KILL.1).await;
+    unfinished
 }
 
 async fn sleep(millis: f64) {
--- /dev/null
+++ b/crates/roseproxy/tests/common/mod.rs
@@ -0,0 +1,164 @@
+//! What the tests on loopback sockets share: a sidecar, its configuration, and plain messages.
+#![allow(dead_code)] // each test program uses a part of it
+
+use roseproxy::{config::Config, Clock};
+use roseproxy_decision::interface::Update;
+use roseproxy_platform::discovery;
+use roseproxy_platform::request::Classes;
+use roseproxy_routing::Host;
+use roseproxy_transport::budget::Budget;
+use roseproxy_transport::listener::Listener;
+use roseproxy_transport::network::{Network, Tcp};
+use roseproxy_transport::Gateway;
+use serde_json::{json, Value};
+use std::future::Future;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::task::spawn_local;
+
+pub const OK: &str = "HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\npriced";
+
+/// Runs a scene on one thread, as the program does.
+pub fn scene<T>(scene: impl Future<Output = T>) -> T {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
+    // What hangs is a failure, and no test that never ends.
+    let scene =
+        async { tokio::time::timeout(Duration::from_secs(20), scene).await.expect("the scene hangs") };
+    tokio::task::LocalSet::new().block_on(&runtime, scene)
+}
+
+pub fn config() -> Config {
+    config_with(|_| {})
+}
+
+/// The configuration, with the settings changed.
+pub fn config_with(change: impl FnOnce(&mut Value)) -> Config {
+    let mut text = json!({"name": "n0", "listen": "127.0.0.1:0", "discovery": "127.0.0.1:9", "seed": "5",
+        "settings": {"discovery": "on_request", "fleet_size": 1, "prices": {"probe": 1000.0},
+            "limits": {"cancel": true, "max_attempts": 3, "max_retry_after": 1000000, "probes": true,
+                "retry_after": true, "second_copies": false},
+            "obligations": {"cold_from": 0.12, "fall_multiple": 4.0, "grace_to_answer": 20000, "warm_up": 1,
+                "must_ask_in": 1000},
+            "report": {"how": "on_probe", "names": ["active"]},
+            "request_classes": [
+                {"aim": 60000000, "effect": "retryable", "give_up": 60000000, "name": "quote", "worth": 2.0},
+                {"aim": 60000000, "effect": "fragile", "give_up": 60000000, "name": "place-order", "worth": 8.0},
+                {"aim": 60000000, "effect": "dedup", "give_up": 60000000, "group": "cell", "name": "stock-update",
+                    "window": 4000000, "worth": 1.0}]}});
+    change(&mut text["settings"]);
+    Config::read(&text.to_string(), |_| None).expect("a good configuration")
+}
+
+pub fn list(revision: u64, complete: bool, targets: &[(SocketAddr, &str)]) -> String {
+    let member = |(address, phase): &(SocketAddr, &str)| {
+        json!({"id": address.to_string(), "host_port": address.to_string(), "locality": "a", "flavor": "m",
+            "cell": 0, "phase": phase, "size": 1.0, "up_since_ms": 0})
+    };
+    let members: Vec<Value> = targets.iter().map(member).collect();
+    json!({"revision": revision, "complete": complete, "members": members}).to_string()
+}
+
+pub struct Sidecar<N = Tcp> {
+    pub gateway: Rc<Gateway<N>>,
+    pub listener: Rc<Listener<N>>,
+    pub address: SocketAddr,
+}
+
+pub async fn sidecar(targets: &[SocketAddr], clients: usize) -> Sidecar {
+    sidecar_with(targets, clients, 20).await
+}
+
+pub async fn sidecar_with(targets: &[SocketAddr], clients: usize, descriptors: usize) -> Sidecar {
+    sidecar_on(Tcp, config(), Clock::system(), targets, clients, descriptors).await
+}
+
+/// A sidecar on this network, with this configuration and clock.
+pub async fn sidecar_on<N: Network<Listener = TcpListener>>(
+    network: N,
+    config: Config,
+    clock: Clock,
+    targets: &[SocketAddr],
+    clients: usize,
+    descriptors: usize,
+) -> Sidecar<N> {
+    let host = Host::new(config.settings.clone(), config.seed, clock.now());
+    sidecar_of(network, host, config, clock, targets, clients, descriptors).await
+}
+
+/// The same round this host.
+pub async fn sidecar_of<N: Network<Listener = TcpListener>>(
+    network: N,
+    host: Host,
+    config: Config,
+    clock: Clock,
+    targets: &[SocketAddr],
+    clients: usize,
+    descriptors: usize,
+) -> Sidecar<N> {
+    let classes = Classes::new(config.dialect, config.settings.classes.clone());
+    let gateway = Gateway::new(network, host, classes, Budget::new(descriptors), clock.reader());
+    let group: Vec<_> = targets.iter().map(|t| (*t, "in_service")).collect();
+    let known = discovery::read(list(1, true, &group).as_bytes()).expect("a list");
+    gateway.targets(Update::Complete, &known.targets);
+    spawn_local(gateway.clone().run_timers());
+    let socket = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let address = socket.local_addr().expect("bound");
+    let listener = Listener::new(gateway.clone(), Budget::new(clients), Rc::new(|| "flows 0\n".into()));
+    spawn_local(listener.clone().run(socket));
+    Sidecar { gateway, listener, address }
+}
+
+pub async fn port() -> (TcpListener, SocketAddr) {
+    let socket = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let address = socket.local_addr().expect("bound");
+    (socket, address)
+}
+
+/// Reads one message: its head, and as much body as its length says.
+pub async fn message(stream: &mut TcpStream) -> Option<String> {
+    let mut text = Vec::new();
+    loop {
+        let so_far = String::from_utf8_lossy(&text).into_owned();
+        if let Some(head) = so_far.find("\r\n\r\n") {
+            let lower = so_far[..head].to_lowercase();
+            let length = lower.split("content-length: ").nth(1).map_or(0, |l| {
+                l.split("\r\n").next().and_then(|n| n.parse::<usize>().ok()).expect("a length")
+            });
+            if text.len() >= head + 4 + length {
+                return Some(so_far);
+            }
+        }
+        match stream.read_u8().await {
+            Ok(byte) => text.push(byte),
+            Err(_) => return None,
+        }
+    }
+}
+
+pub fn request(class: &str, id: &str, body: &str) -> String {
+    let method = if class == "quote" { "GET" } else { "POST" };
+    format!(
+        "{method} /{class}?obj=7f3a HTTP/1.1\r\nHost: origin.svc\r\nRequest-Id: {id}\r\nRequest-Class: {class}\r\n\
+         Tenant: acme\r\nRequest-Timeout: 50\r\nContent-Length: {}\r\n\r\n{body}",
+        body.len()
+    )
+}
+
+/// A target that answers so many requests on one connection; returns them as they came.
+pub async fn serve(socket: TcpListener, count: usize) -> Vec<String> {
+    let (mut stream, _) = socket.accept().await.expect("the sidecar connects");
+    let mut got = Vec::new();
+    for _ in 0..count {
+        got.push(message(&mut stream).await.expect("a request"));
+        stream.write_all(OK.as_bytes()).await.expect("written");
+    }
+    got
+}
+
+pub async fn ask(client: &mut TcpStream, text: &str) -> String {
+    client.write_all(text.as_bytes()).await.expect("the sidecar reads");
+    message(client).await.expect("a whole answer")
+}
--- /dev/null
+++ b/crates/roseproxy/tests/crossings.rs
@@ -0,0 +1,592 @@
+//! Places where two events cross, on real connections. A gate holds one of the two back, so that the bad order comes
+//! every time; nothing here rests on sleeps or luck.
+
+mod common;
+
+use common::*;
+use roseproxy::signals::Asked;
+use roseproxy::start::{serve as run, Surroundings};
+use roseproxy::{config::Config, Clock};
+use roseproxy_decision::interface::{Action, Event, Micros};
+use roseproxy_routing::decide::Decider;
+use roseproxy_routing::Host;
+use roseproxy_transport::discovery::Watcher;
+use roseproxy_transport::listener::Phase;
+use roseproxy_transport::network::{Network, Quiet, Tcp};
+use roseproxy_transport::Gateway;
+use serde_json::json;
+use std::cell::{Cell, RefCell};
+use std::future::Future;
+use std::io::{self, ErrorKind};
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::{Context, Poll, Waker};
+use std::time::Duration;
+use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt, ReadBuf};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::mpsc::unbounded_channel;
+use tokio::sync::watch;
+use tokio::task::spawn_local;
+
+const READY: &str = "GET /health/ready HTTP/1.1\r\nHost: a\r\n\r\n";
+
+/// Holds back what comes to it while it is shut.
+#[derive(Default)]
+struct Gate {
+    shut: Cell<bool>,
+    waiting: RefCell<Vec<Waker>>,
+}
+
+impl Gate {
+    fn shut(&self) {
+        self.shut.set(true);
+    }
+
+    fn open(&self) {
+        self.shut.set(false);
+        self.waiting.take().into_iter().for_each(Waker::wake);
+    }
+
+    fn poll(&self, cx: &mut Context<'_>) -> Poll<()> {
+        if self.shut.get() {
+            self.waiting.borrow_mut().push(cx.waker().clone());
+            return Poll::Pending;
+        }
+        Poll::Ready(())
+    }
+}
+
+/// The system's sockets, with a gate before what is opened and one before what clients' streams bring in.
+#[derive(Clone, Default)]
+struct Gated {
+    connects: Rc<Gate>,
+    reads: Rc<Gate>,
+}
+
+struct Held<S>(S, Rc<Gate>);
+
+impl Network for Gated {
+    type Listener = TcpListener;
+    type Accepted = Held<<Tcp as Network>::Accepted>;
+    type Opened = <Tcp as Network>::Opened;
+
+    async fn listen(&self, address: SocketAddr) -> io::Result<TcpListener> {
+        Tcp.listen(address).await
+    }
+
+    async fn accept(&self, listener: &TcpListener) -> io::Result<(Self::Accepted, Quiet)> {
+        let (stream, quiet) = Tcp.accept(listener).await?;
+        Ok((Held(stream, self.reads.clone()), quiet))
+    }
+
+    async fn connect(&self, address: SocketAddr) -> io::Result<(Self::Opened, Quiet)> {
+        std::future::poll_fn(|cx| self.connects.poll(cx)).await;
+        Tcp.connect(address).await
+    }
+}
+
+impl<S: AsyncRead + Unpin> AsyncRead for Held<S> {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        std::task::ready!(self.1.poll(cx));
+        Pin::new(&mut self.0).poll_read(cx, buf)
+    }
+}
+
+impl<S: AsyncWrite + Unpin> AsyncWrite for Held<S> {
+    fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.0).poll_write(cx, buf)
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.0).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.0).poll_shutdown(cx)
+    }
+}
+
+fn of<N: Network>(gateway: &Gateway<N>, name: &str) -> u64 {
+    gateway.counts().iter().find(|(n, _)| n == name).map_or(0, |(_, count)| *count)
+}
+
+/// Waits until something holds; a test that waits in vain fails.
+async fn until(what: &str, holds: impl Fn() -> bool) {
+    for _ in 0..2_000 {
+        if holds() {
+            return;
+        }
+        tokio::time::sleep(Duration::from_millis(1)).await;
+    }
+    panic!("not within two seconds: {what}");
+}
+
+/// Lets whatever is ready run.
+async fn turns() {
+    for _ in 0..50 {
+        tokio::task::yield_now().await;
+    }
+}
+
+/// A scene in which time stands until all wait.
+fn timeless<T>(scene: impl Future<Output = T>) -> T {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().start_paused(true).build();
+    tokio::task::LocalSet::new().block_on(&runtime.expect("a runtime"), scene)
+}
+
+fn reset(client: TcpStream) {
+    // A linger of 0 makes the close a reset.
+    socket2::SockRef::from(&client).set_linger(Some(Duration::ZERO)).expect("set");
+}
+
+// ---- the client leaves
+
+/// What a client leaves behind that has gone while its request waited for a connection: nothing is written for it,
+/// whether or not the module may cancel, and however it left.
+#[test]
+fn a_request_whose_client_left_while_a_connection_came_up_is_not_written() {
+    for cancel in [false, true] {
+        for behind in ["", "more bytes"] {
+            for by_reset in [false, true] {
+                scene(async {
+                    let (socket, target) = port().await;
+                    let network = Gated::default();
+                    network.connects.shut();
+                    let config = config_with(|s| {
+                        s["limits"]["cancel"] = json!(cancel);
+                        s["limits"]["connect_timeout"] = json!(60_000_000);
+                    });
+                    let sidecar =
+                        sidecar_on(network.clone(), config, Clock::system(), &[target], 8, 20).await;
+                    let mut client = TcpStream::connect(sidecar.address).await.expect("connects");
+                    let text = request("place-order", "left", "a") + behind;
+                    client.write_all(text.as_bytes()).await.expect("written");
+                    until("the forward waits", || of(&sidecar.gateway, "forwards_open") == 1).await;
+                    match by_reset {
+                        true => reset(client),
+                        false => drop(client),
+                    }
+                    until("the client is missed", || sidecar.gateway.open_flows() == 0).await;
+                    network.connects.open();
+                    let served = spawn_local(serve(socket, 1));
+                    let mut other = TcpStream::connect(sidecar.address).await.expect("connects");
+                    ask(&mut other, &request("place-order", "stays", "b")).await;
+                    let first = &served.await.expect("no panic")[0];
+                    assert!(first.contains("request-id: stays"), "{cancel} {behind} {by_reset}: {first}");
+                    assert_eq!(of(&sidecar.gateway, "forwards_sent"), 2);
+                });
+            }
+        }
+    }
+}
+
+/// A client that was gone before its connection had a place: request and end are read in one go.
+#[test]
+fn a_departure_that_comes_with_the_last_byte_is_heeded() {
+    scene(async {
+        let (socket, target) = port().await;
+        let network = Gated::default();
+        network.connects.shut();
+        network.reads.shut();
+        let config = config_with(|s| s["limits"]["cancel"] = json!(false));
+        let sidecar = sidecar_on(network.clone(), config, Clock::system(), &[target], 8, 20).await;
+        let mut client = TcpStream::connect(sidecar.address).await.expect("connects");
+        client.write_all(request("place-order", "left", "a").as_bytes()).await.expect("written");
+        drop(client);
+        until("it is accepted", || of(&sidecar.gateway, "clients_accepted") == 1).await;
+        network.reads.open();
+        until("it is missed", || sidecar.listener.quiet_for(0.0) && sidecar.gateway.open_flows() == 0).await;
+        network.connects.open();
+        let served = spawn_local(serve(socket, 1));
+        let mut other = TcpStream::connect(sidecar.address).await.expect("connects");
+        ask(&mut other, &request("place-order", "stays", "b")).await;
+        assert!(served.await.expect("no panic")[0].contains("request-id: stays"));
+    });
+}
+
+/// A request that is held, as there is no target yet, and whose client leaves with bytes behind it.
+#[test]
+fn a_held_request_whose_client_left_is_not_sent_when_a_target_comes() {
+    scene(async {
+        let (socket, target) = port().await;
+        let sidecar = sidecar(&[], 8).await;
+        let mut client = TcpStream::connect(sidecar.address).await.expect("connects");
+        let text = request("quote", "left", "") + &"x".repeat(100_000);
+        client.write_all(text.as_bytes()).await.expect("written");
+        until("it is held", || sidecar.gateway.open_flows() == 1).await;
+        drop(client);
+        until("the client is missed", || sidecar.gateway.open_flows() == 0).await;
+        let group = list(2, true, &[(target, "in_service")]);
+        let group = roseproxy_platform::discovery::read(group.as_bytes()).expect("a list");
+        sidecar.gateway.targets(group.update, &group.targets);
+        let served = spawn_local(serve(socket, 1));
+        let mut other = TcpStream::connect(sidecar.address).await.expect("connects");
+        ask(&mut other, &request("quote", "stays", "")).await;
+        assert!(served.await.expect("no panic")[0].contains("request-id: stays"));
+    });
+}
+
+// ---- client connections closed by this side
+
+/// The time for a request runs out in the very moment in which its last byte comes: it is taken then, read or not.
+#[test]
+fn a_request_whose_last_byte_is_there_is_not_cut_off() {
+    timeless(async {
+        let (socket, target) = port().await;
+        spawn_local(serve(socket, 1));
+        let network = Gated::default();
+        let sidecar = sidecar_on(network.clone(), config(), Clock::system(), &[target], 8, 20).await;
+        let mut client = TcpStream::connect(sidecar.address).await.expect("connects");
+        let text = request("quote", "1", "");
+        let (first, rest) = text.split_at(20);
+        client.write_all(first.as_bytes()).await.expect("written");
+        until("it is accepted", || of(&sidecar.gateway, "clients_accepted") == 1).await;
+        turns().await;
+        network.reads.shut();
+        client.write_all(rest.as_bytes()).await.expect("written");
+        tokio::time::sleep(Duration::from_millis(4_000)).await;
+        network.reads.open();
+        let answer = message(&mut client).await.expect("a whole answer");
+        assert!(answer.ends_with("priced"), "{answer}");
+    });
+}
+
+/// The end closes idle connections; a request that lies in one unread is taken all the same, and answered.
+#[test]
+fn a_close_that_crosses_a_request_lets_it_be_answered() {
+    for asked in [true, false] {
+        timeless(async {
+            let (socket, target) = port().await;
+            spawn_local(serve(socket, 1));
+            let network = Gated::default();
+            let sidecar = sidecar_on(network.clone(), config(), Clock::system(), &[target], 8, 20).await;
+            let mut client = TcpStream::connect(sidecar.address).await.expect("connects");
+            if asked {
+                assert!(ask(&mut client, READY).await.starts_with("HTTP/1.1 200"));
+            }
+            until("it is accepted", || of(&sidecar.gateway, "clients_accepted") == 1).await;
+            turns().await;
+            network.reads.shut();
+            client.write_all(request("place-order", "1", "a").as_bytes()).await.expect("written");
+            sidecar.listener.enter(Phase::Leaving);
+            sidecar.listener.enter(Phase::Closing);
+            tokio::time::sleep(Duration::from_millis(1_000)).await;
+            assert!(!sidecar.listener.quiet_for(0.0));
+            network.reads.open();
+            let answer = message(&mut client).await.expect("a whole answer");
+            assert!(answer.contains("connection: close") && answer.ends_with("priced"), "{asked}: {answer}");
+            assert!(message(&mut client).await.is_none(), "and then it ends");
+        });
+    }
+}
+
+/// Where places run short the idlest connection makes room, unless its client has asked again in that moment.
+#[test]
+fn a_connection_that_is_to_make_room_is_answered_first() {
+    timeless(async {
+        let (socket, target) = port().await;
+        spawn_local(serve(socket, 1));
+        let network = Gated::default();
+        let sidecar = sidecar_on(network.clone(), config(), Clock::system(), &[target], 1, 20).await;
+        let mut client = TcpStream::connect(sidecar.address).await.expect("connects");
+        assert!(ask(&mut client, READY).await.starts_with("HTTP/1.1 200"));
+        turns().await;
+        network.reads.shut();
+        client.write_all(request("quote", "1", "").as_bytes()).await.expect("written");
+        let mut other = TcpStream::connect(sidecar.address).await.expect("connects");
+        tokio::time::sleep(Duration::from_millis(500)).await;
+        network.reads.open();
+        let answer = message(&mut client).await.expect("a whole answer");
+        assert!(answer.contains("connection: close") && answer.ends_with("priced"), "{answer}");
+        assert!(ask(&mut other, READY).await.starts_with("HTTP/1.1 200"), "then the other has its place");
+    });
+}
+
+/// A 4xx goes out before the body is read. A socket closed with bytes unread resets, which can destroy the answer.
+#[test]
+fn an_answer_before_the_body_is_read_is_not_followed_by_a_reset() {
+    scene(async {
+        let sidecar = sidecar(&["127.0.0.1:9".parse().expect("an address")], 8).await;
+        let heads = [
+            "POST /place-order HTTP/1.1\r\nRequest-Id: 1\r\nContent-Length: 65537\r\n\r\n",
+            "nonsense\r\n\r\n",
+        ];
+        for head in heads {
+            let mut client = TcpStream::connect(sidecar.address).await.expect("connects");
+            client.write_all(head.as_bytes()).await.expect("written");
+            // The answer is there, unread, while more comes.
+            client.readable().await.expect("open");
+            turns().await;
+            for _ in 0..8 {
+                client.write_all(&[b'x'; 8192]).await.expect("read on by the sidecar");
+            }
+            let mut answer = String::new();
+            client.read_to_string(&mut answer).await.expect("an end and no reset");
+            assert!(answer.starts_with("HTTP/1.1 4"), "{answer}");
+        }
+    });
+}
+
+// ---- the end
+
+/// Lets the whole program run from a configuration.
+fn program(
+    network: Gated,
+    config: Config,
+) -> (tokio::task::JoinHandle<Result<String, String>>, tokio::sync::mpsc::UnboundedSender<Asked>) {
+    let (ask, asked) = unbounded_channel();
+    let around = Surroundings { network, clock: Clock::system(), say: Rc::new(|_| {}), decider: None };
+    (spawn_local(run(config, around, asked, || Err("no reload".into()))), ask)
+}
+
+/// A configuration of the program at a port of its own, with these targets known.
+async fn at_port(mut config: Config, targets: &[SocketAddr]) -> Config {
+    let (socket, address) = port().await;
+    drop(socket);
+    config.listen = address;
+    let group: Vec<_> = targets.iter().map(|t| (*t, "in_service")).collect();
+    let known = roseproxy_platform::discovery::read(list(1, true, &group).as_bytes());
+    Config { known: Some(known.expect("a list")), ..config }
+}
+
+/// Targets that hang while the program ends: the kill comes 0.7 s after the longest deadline, which counts as 3 s at
+/// most, and what is open then has its answer before, whole.
+#[test]
+fn the_end_answers_what_hangs_before_the_kill() {
+    for (give_up, kill) in [(60_000_000, 3_700.0), (900_000, 1_600.0)] {
+        timeless(async {
+            let (_hangs, target) = port().await;
+            let config = config_with(|s| {
+                s["request_classes"].as_array_mut().expect("classes").iter_mut().for_each(|c| {
+                    c["aim"] = json!(give_up);
+                    c["give_up"] = json!(give_up);
+                });
+            });
+            let config = at_port(config, &[target]).await;
+            let address = config.listen;
+            let (ended, ask) = program(Gated::default(), config);
+            turns().await;
+            let mut client = TcpStream::connect(address).await.expect("connects");
+            client.write_all(request("place-order", "1", "a").as_bytes()).await.expect("written");
+            let asked = tokio::time::Instant::now();
+            ask.send(Asked::End).expect("it runs");
+            let answer = spawn_local(async move { message(&mut client).await });
+            let counts = ended.await.expect("no panic").expect("ends in order");
+            let took = asked.elapsed().as_secs_f64() * 1000.0;
+            assert!(took < kill, "{took} ms of {kill}");
+            assert!(counts.contains("flows_open 0\n"), "{counts}");
+            let answer = answer.await.expect("no panic").expect("a whole answer");
+            assert!(answer.starts_with("HTTP/1.1 502"), "{answer}");
+        });
+    }
+}
+
+/// A connection that the machine accepted and the program has no place for yet belongs to the end too.
+#[test]
+fn the_end_waits_for_connections_that_wait_for_a_place() {
+    scene(async {
+        let (socket, target) = port().await;
+        let sidecar = sidecar(&[target], 1).await;
+        let mut client = TcpStream::connect(sidecar.address).await.expect("connects");
+        client.write_all(request("quote", "1", "").as_bytes()).await.expect("written");
+        let (mut stream, _) = socket.accept().await.expect("the sidecar connects");
+        message(&mut stream).await.expect("a request");
+        let mut waits = TcpStream::connect(sidecar.address).await.expect("connects");
+        waits.write_all(request("quote", "2", "").as_bytes()).await.expect("written");
+        sidecar.listener.enter(Phase::Closing);
+        let done = Rc::new(Cell::new(false));
+        let (seen, listener) = (done.clone(), sidecar.listener.clone());
+        // In every turn of the loop, between any two tasks.
+        let looks = spawn_local(std::future::poll_fn(move |cx| {
+            seen.set(seen.get() || listener.quiet_for(0.0));
+            cx.waker().wake_by_ref();
+            Poll::<()>::Pending
+        }));
+        stream.write_all(OK.as_bytes()).await.expect("written");
+        assert!(message(&mut client).await.expect("a whole answer").ends_with("priced"));
+        message(&mut stream).await.expect("the other request");
+        assert!(!done.get(), "the end was near while a request waited");
+        stream.write_all(OK.as_bytes()).await.expect("written");
+        assert!(message(&mut waits).await.expect("a whole answer").ends_with("priced"));
+        looks.abort();
+    });
+}
+
+// ---- lists and watches
+
+fn pushed() -> Config {
+    config_with(|s| s["discovery"] = json!("pushed"))
+}
+
+/// Where lists are pushed the module asks for none, and what discovery has counts as told all the same.
+#[test]
+fn a_pushed_list_is_watched_from_the_start_and_again_after_each_end() {
+    scene(async {
+        let (socket, address) = port().await;
+        let sidecar = sidecar_on(Tcp, pushed(), Clock::system(), &[], 8, 20).await;
+        spawn_local(Watcher::new(sidecar.gateway.clone(), watch::channel(address).1, Some(41)).run());
+        for _ in 0..3 {
+            let (mut stream, _) = socket.accept().await.expect("the sidecar connects");
+            let watch = message(&mut stream).await.expect("a request");
+            assert!(watch.starts_with("GET /registry/instances?stream=1&index=41 HTTP/1.1\r\n"), "{watch}");
+        }
+    });
+}
+
+async fn open_watch(socket: &TcpListener) -> TcpStream {
+    let (mut stream, _) = socket.accept().await.expect("the sidecar connects");
+    let watch = message(&mut stream).await.expect("a request");
+    assert!(watch.contains("stream=1"), "{watch}");
+    stream
+        .write_all(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+        .await
+        .expect("the sidecar reads");
+    stream
+}
+
+async fn chunk(stream: &mut TcpStream, text: &str) -> io::Result<()> {
+    stream.write_all(format!("{:x}\r\n{text}\r\n", text.len()).as_bytes()).await
+}
+
+/// Lists may come indented, over several lines.
+#[test]
+fn an_indented_list_is_taken_from_a_watch() {
+    scene(async {
+        let (socket, address) = port().await;
+        let sidecar = sidecar_on(Tcp, pushed(), Clock::system(), &[], 8, 20).await;
+        spawn_local(Watcher::new(sidecar.gateway.clone(), watch::channel(address).1, Some(1)).run());
+        let mut stream = open_watch(&socket).await;
+        let change: serde_json::Value =
+            serde_json::from_str(&list(2, false, &[(address, "in_service")])).expect("JSON");
+        let text = serde_json::to_string_pretty(&change).expect("JSON") + "\n";
+        chunk(&mut stream, &text).await.expect("read");
+        until("the list is taken", || sidecar.gateway.can_serve()).await;
+        assert_eq!(of(&sidecar.gateway, "lists_unread"), 0);
+    });
+}
+
+/// A watch that dribbles is as dead as a silent one: bytes of a line that never ends, or of an object.
+#[test]
+fn a_watch_that_dribbles_is_opened_anew() {
+    for drops in [" ", "{\"revision\":\n"] {
+        timeless(async {
+            let (socket, address) = port().await;
+            let sidecar = sidecar_on(Tcp, pushed(), Clock::system(), &[], 8, 20).await;
+            spawn_local(Watcher::new(sidecar.gateway.clone(), watch::channel(address).1, Some(1)).run());
+            let mut stream = open_watch(&socket).await;
+            chunk(&mut stream, "\n").await.expect("read");
+            let began = tokio::time::Instant::now();
+            let dribbles = spawn_local(async move {
+                while chunk(&mut stream, drops).await.is_ok() {
+                    tokio::time::sleep(Duration::from_millis(500)).await;
+                }
+            });
+            let anew = tokio::time::timeout(Duration::from_secs(30), open_watch(&socket)).await;
+            assert!(anew.is_ok(), "{drops:?} kept it alive");
+            // What it missed counts as told 6 s after it fell silent.
+            assert!(began.elapsed() < Duration::from_secs(4), "{drops:?}: {:?}", began.elapsed());
+            dribbles.abort();
+        });
+    }
+}
+
+/// Two hundred targets in an indented list are more than a body elsewhere may hold.
+#[test]
+fn a_whole_list_of_more_than_64_kib_is_taken() {
+    scene(async {
+        let (socket, address) = port().await;
+        let sidecar = sidecar_on(Tcp, pushed(), Clock::system(), &[], 8, 20).await;
+        spawn_local(Watcher::new(sidecar.gateway.clone(), watch::channel(address).1, None).run());
+        let (mut stream, _) = socket.accept().await.expect("the sidecar connects");
+        message(&mut stream).await.expect("a request");
+        let group: Vec<_> =
+            (1..=1_000).map(|p| (SocketAddr::from(([127, 0, 0, 9], p)), "in_service")).collect();
+        let text = list(2, true, &group);
+        assert!(text.len() > 65_536);
+        let answer = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{text}", text.len());
+        stream.write_all(answer.as_bytes()).await.expect("read");
+        let watch = message(&mut stream).await.expect("the watch behind it");
+        assert!(watch.contains("index=2 "), "{watch}");
+    });
+}
+
+/// Asks for a watch with each request, and for nothing else.
+struct Wishes;
+
+impl Decider for Wishes {
+    fn handle(&mut self, _: Micros, event: Event, out: &mut Vec<Action>) {
+        if let Event::Request(_) = event {
+            out.push(Action::Subscribe);
+        }
+    }
+}
+
+/// A wish that comes while the watch is open is met by it: kept, it would start the next one at once after a failure,
+/// beside the pauses that keep all sidecars from calling together.
+#[test]
+fn a_wish_for_a_watch_that_is_open_starts_no_other() {
+    scene(async {
+        let ((socket, address), config) = (port().await, config());
+        let host = Host::with(config.settings.clone(), Box::new(Wishes));
+        let sidecar = sidecar_of(Tcp, host, config, Clock::system(), &[], 8, 20).await;
+        spawn_local(Watcher::new(sidecar.gateway.clone(), watch::channel(address).1, Some(1)).run());
+        let mut client = TcpStream::connect(sidecar.address).await.expect("connects");
+        client.write_all(request("quote", "1", "").as_bytes()).await.expect("written");
+        let stream = open_watch(&socket).await;
+        let mut client = TcpStream::connect(sidecar.address).await.expect("connects");
+        client.write_all(request("quote", "2", "").as_bytes()).await.expect("written");
+        until("both are taken", || sidecar.gateway.open_flows() == 2).await;
+        drop(stream);
+        until("the failure is known", || of(&sidecar.gateway, "discovery_failures") == 1).await;
+        turns().await;
+        // A connection would lie there: the system accepts it by itself.
+        let socket = socket.into_std().expect("a socket");
+        assert_eq!(socket.accept().map(|_| ()).map_err(|e| e.kind()), Err(ErrorKind::WouldBlock));
+    });
+}
+
+// ---- retries and writes
+
+/// A repeat is decided inside its key's window, and its connection comes up past it.
+#[test]
+fn a_repeat_whose_connection_comes_up_past_the_window_is_not_written() {
+    scene(async {
+        let ((first, one), (second, two)) = (port().await, port().await);
+        let network = Gated::default();
+        let config = config_with(|s| {
+            s["limits"]["connect_timeout"] = json!(60_000_000);
+            s["request_classes"][2]["give_up"] = json!(20_000_000);
+        });
+        let clock = Clock::manual(1_000_000.0);
+        let sidecar = sidecar_on(network.clone(), config, clock.clone(), &[one, two], 8, 20).await;
+        let mut client = TcpStream::connect(sidecar.address).await.expect("connects");
+        let key = "Idempotency-Key: 5c0f\r\nContent-Length";
+        let text = request("stock-update", "1", "sold=1").replace("Content-Length", key);
+        client.write_all(text.as_bytes()).await.expect("written");
+        let (mut stream, other) = tokio::select! {
+            came = first.accept() => (came.expect("the sidecar connects").0, second),
+            came = second.accept() => (came.expect("the sidecar connects").0, first),
+        };
+        message(&mut stream).await.expect("a request");
+        network.connects.shut();
+        // It may have run: the repeat is out at once, and waits for its connection.
+        drop(stream);
+        until("the repeat is out", || of(&sidecar.gateway, "forwards_sent") == 2).await;
+        clock.set(1_000_000.0 + 4_001.0);
+        network.connects.open();
+        let copy = spawn_local(async move {
+            let (mut stream, _) = other.accept().await.expect("the sidecar connects");
+            message(&mut stream).await
+        });
+        let answer = message(&mut client).await.expect("a whole answer");
+        assert!(answer.starts_with("HTTP/1.1 502"), "{answer}");
+        assert_eq!(of(&sidecar.gateway, "forwards_not_sent"), 1);
+        turns().await;
+        assert!(!copy.is_finished() || copy.await.expect("no panic").is_none(), "it was written");
+    });
+}
--- a/crates/roseproxy/tests/sockets.rs
+++ b/crates/roseproxy/tests/sockets.rs
@@ -1,137 +1,22 @@
 //! The whole sidecar on loopback sockets, with scripted targets and clients.
 
-use roseproxy::{config::Config, reload::Reload, Clock};
-use roseproxy_decision::interface::Update;
-use roseproxy_platform::discovery;
-use roseproxy_platform::request::{Classes, Outgoing};
-use roseproxy_routing::Host;
-use roseproxy_transport::budget::Budget;
+mod common;
+
+use common::*;
+use roseproxy::{config::Config, reload::Reload};
+use roseproxy_platform::request::Outgoing;
+use roseproxy_transport::connect;
 use roseproxy_transport::connection::State;
 use roseproxy_transport::discovery::Watcher;
-use roseproxy_transport::listener::{Listener, Phase};
+use roseproxy_transport::listener::Phase;
 use roseproxy_transport::network::Tcp;
-use roseproxy_transport::{connect, Gateway};
-use serde_json::{json, Value};
-use std::future::Future;
+use serde_json::json;
 use std::net::SocketAddr;
-use std::rc::Rc;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::TcpStream;
 use tokio::sync::watch;
 use tokio::task::spawn_local;
 
-const OK: &str = "HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\npriced";
-
-/// Runs a scene on one thread, as the program does.
-fn scene<T>(scene: impl Future<Output = T>) -> T {
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
-    tokio::task::LocalSet::new().block_on(&runtime, scene)
-}
-
-fn config() -> Config {
-    let text = json!({"name": "n0", "listen": "127.0.0.1:0", "discovery": "127.0.0.1:9", "seed": "5",
-        "settings": {"discovery": "on_request", "fleet_size": 1, "prices": {"probe": 1000.0},
-            "limits": {"cancel": true, "max_attempts": 3, "max_retry_after": 1000000, "probes": true,
-                "retry_after": true, "second_copies": false},
-            "obligations": {"cold_from": 0.12, "fall_multiple": 4.0, "grace_to_answer": 20000, "warm_up": 1,
-                "must_ask_in": 1000},
-            "report": {"how": "on_probe", "names": ["active"]},
-            "request_classes": [
-                {"aim": 60000000, "effect": "retryable", "give_up": 60000000, "name": "quote", "worth": 2.0},
-                {"aim": 60000000, "effect": "fragile", "give_up": 60000000, "name": "place-order", "worth": 8.0},
-                {"aim": 60000000, "effect": "dedup", "give_up": 60000000, "group": "cell", "name": "stock-update",
-                    "window": 4000000, "worth": 1.0}]}});
-    Config::read(&text.to_string(), |_| None).expect("a good configuration")
-}
-
-fn list(revision: u64, complete: bool, targets: &[(SocketAddr, &str)]) -> String {
-    let member = |(address, phase): &(SocketAddr, &str)| {
-        json!({"id": address.to_string(), "host_port": address.to_string(), "locality": "a", "flavor": "m",
-            "cell": 0, "phase": phase, "size": 1.0, "up_since_ms": 0})
-    };
-    let members: Vec<Value> = targets.iter().map(member).collect();
-    json!({"revision": revision, "complete": complete, "members": members}).to_string()
-}
-
-struct Sidecar {
-    gateway: Rc<Gateway<Tcp>>,
-    listener: Rc<Listener<Tcp>>,
-    address: SocketAddr,
-}
-
-async fn sidecar(targets: &[SocketAddr], clients: usize) -> Sidecar {
-    sidecar_with(targets, clients, 20).await
-}
-
-async fn sidecar_with(targets: &[SocketAddr], clients: usize, descriptors: usize) -> Sidecar {
-    let config = config();
-    let clock = Clock::system();
-    let classes = Classes::new(config.dialect, config.settings.classes.clone());
-    let host = Host::new(config.settings, config.seed, clock.now());
-    let gateway = Gateway::new(Tcp, host, classes, Budget::new(descriptors), clock.reader());
-    let group: Vec<_> = targets.iter().map(|t| (*t, "in_service")).collect();
-    let known = discovery::read(list(1, true, &group).as_bytes()).expect("a list");
-    gateway.targets(Update::Complete, &known.targets);
-    spawn_local(gateway.clone().run_timers());
-    let socket = TcpListener::bind("127.0.0.1:0").await.expect("a port");
-    let address = socket.local_addr().expect("bound");
-    let listener = Listener::new(gateway.clone(), Budget::new(clients), Rc::new(|| "flows 0\n".into()));
-    spawn_local(listener.clone().run(socket));
-    Sidecar { gateway, listener, address }
-}
-
-async fn port() -> (TcpListener, SocketAddr) {
-    let socket = TcpListener::bind("127.0.0.1:0").await.expect("a port");
-    let address = socket.local_addr().expect("bound");
-    (socket, address)
-}
-
-/// Reads one message: its head, and as much body as its length says.
-async fn message(stream: &mut TcpStream) -> Option<String> {
-    let mut text = Vec::new();
-    loop {
-        let so_far = String::from_utf8_lossy(&text).into_owned();
-        if let Some(head) = so_far.find("\r\n\r\n") {
-            let lower = so_far[..head].to_lowercase();
-            let length = lower.split("content-length: ").nth(1).map_or(0, |l| {
-                l.split("\r\n").next().and_then(|n| n.parse::<usize>().ok()).expect("a length")
-            });
-            if text.len() >= head + 4 + length {
-                return Some(so_far);
-            }
-        }
-        match stream.read_u8().await {
-            Ok(byte) => text.push(byte),
-            Err(_) => return None,
-        }
-    }
-}
-
-fn request(class: &str, id: &str, body: &str) -> String {
-    let method = if class == "quote" { "GET" } else { "POST" };
-    format!(
-        "{method} /{class}?obj=7f3a HTTP/1.1\r\nHost: origin.svc\r\nRequest-Id: {id}\r\nRequest-Class: {class}\r\n\
-         Tenant: acme\r\nRequest-Timeout: 50\r\nContent-Length: {}\r\n\r\n{body}",
-        body.len()
-    )
-}
-
-/// A target that answers so many requests on one connection; returns them as they came.
-async fn serve(socket: TcpListener, count: usize) -> Vec<String> {
-    let (mut stream, _) = socket.accept().await.expect("the sidecar connects");
-    let mut got = Vec::new();
-    for _ in 0..count {
-        got.push(message(&mut stream).await.expect("a request"));
-        stream.write_all(OK.as_bytes()).await.expect("written");
-    }
-    got
-}
-
-async fn ask(client: &mut TcpStream, text: &str) -> String {
-    client.write_all(text.as_bytes()).await.expect("the sidecar reads");
-    message(client).await.expect("a whole answer")
-}
-
 #[test]
 fn a_request_passes_unchanged_and_its_answer_comes_back_whole() {
     scene(async {
--- /dev/null
+++ b/crates/transport/src/client.rs
@@ -0,0 +1,123 @@
+//! A client's stream, held by hyper and looked at from outside it.
+//!
+//! hyper looks for the end of a stream only while it holds no bytes that it has not used. A client that has sent
+//! something behind its request and leaves would not be missed until its answer is written.
+
+use super::head::Incoming;
+use std::cell::{Cell, RefCell};
+use std::future::poll_fn;
+use std::io::{self, IoSlice};
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::{Context, Poll};
+use tokio::io::{AsyncRead, AsyncWrite, AsyncWriteExt, ReadBuf};
+
+/// How much is read at a time of what nobody uses, and how often before others have their turn.
+const CHUNK: usize = 4096;
+const TURNS: usize = 16;
+
+/// The stream. All who hold it are polled by one task, so that whoever waits last wakes all of them.
+#[derive(Debug)]
+pub(super) struct Client<S> {
+    stream: Rc<RefCell<S>>,
+    /// Whether something that is to be written waits for the client to read.
+    blocked: Rc<Cell<bool>>,
+}
+
+impl<S> Clone for Client<S> {
+    fn clone(&self) -> Self {
+        Client { stream: self.stream.clone(), blocked: self.blocked.clone() }
+    }
+}
+
+impl<S> Client<S> {
+    pub fn new(stream: S) -> Client<S> {
+        Client { stream: Rc::new(RefCell::new(stream)), blocked: Rc::default() }
+    }
+
+    /// Whether something that is to be written waits: an answer given is not yet an answer sent.
+    pub fn blocked(&self) -> bool {
+        self.blocked.get()
+    }
+
+    fn wrote(&self, written: Poll<io::Result<usize>>) -> Poll<io::Result<usize>> {
+        self.blocked.set(written.is_pending());
+        written
+    }
+}
+
+impl<S: AsyncRead + AsyncWrite + Unpin> Client<S> {
+    /// Waits until the client of an open flow has left, by an orderly end or a reset. Meanwhile it reads what
+    /// comes behind the request and throws it away: `incoming` counts it, and the connection ends behind the
+    /// answer then. While no flow is open it waits and reads nothing.
+    pub async fn departed(&self, incoming: &Incoming, open: impl Fn() -> bool) {
+        poll_fn(|cx| {
+            for _ in 0..TURNS {
+                if !open() {
+                    return Poll::Pending;
+                }
+                match self.poll_drop(cx) {
+                    Poll::Ready(Ok(0) | Err(_)) => return Poll::Ready(()),
+                    Poll::Ready(Ok(count)) => incoming.came_behind(count),
+                    Poll::Pending => return Poll::Pending,
+                }
+            }
+            cx.waker().wake_by_ref();
+            Poll::Pending
+        })
+        .await;
+    }
+
+    /// Ends the sending side and reads on until the client has closed too: a socket closed with bytes unread
+    /// makes the system send a reset, which can destroy the answer just written.
+    pub async fn linger(&mut self) {
+        let _ = self.shutdown().await;
+        loop {
+            match poll_fn(|cx| self.poll_drop(cx)).await {
+                Ok(0) | Err(_) => return,
+                Ok(_) => tokio::task::yield_now().await,
+            }
+        }
+    }
+
+    fn poll_drop(&self, cx: &mut Context<'_>) -> Poll<io::Result<usize>> {
+        let mut space = [0; CHUNK];
+        let mut buffer = ReadBuf::new(&mut space);
+        let read = Pin::new(&mut *self.stream.borrow_mut()).poll_read(cx, &mut buffer);
+        read.map_ok(|()| buffer.filled().len())
+    }
+}
+
+impl<S: AsyncRead + Unpin> AsyncRead for Client<S> {
+    fn poll_read(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut *self.stream.borrow_mut()).poll_read(cx, buf)
+    }
+}
+
+impl<S: AsyncWrite + Unpin> AsyncWrite for Client<S> {
+    fn poll_write(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
+        let written = Pin::new(&mut *self.stream.borrow_mut()).poll_write(cx, buf);
+        self.wrote(written)
+    }
+
+    fn poll_write_vectored(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bufs: &[IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        let written = Pin::new(&mut *self.stream.borrow_mut()).poll_write_vectored(cx, bufs);
+        self.wrote(written)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.stream.borrow().is_write_vectored()
+    }
+
+    fn poll_flush(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut *self.stream.borrow_mut()).poll_flush(cx)
+    }
+
+    fn poll_shutdown(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut *self.stream.borrow_mut()).poll_shutdown(cx)
+    }
+}
--- a/crates/transport/src/head.rs
+++ b/crates/transport/src/head.rs
@@ -48,6 +48,11 @@
         matches!(self.framing.get(), Some(Framing::Length(length)) if self.behind.get() <= length)
     }
 
+    /// So many bytes came behind the request, which nobody will read.
+    pub fn came_behind(&self, count: usize) {
+        self.behind.set(self.behind.get().saturating_add(count as u64));
+    }
+
     /// Waits for the next request.
     pub fn begin_anew(&self) {
         self.begun.set(None);
--- a/crates/transport/src/lib.rs
+++ b/crates/transport/src/lib.rs
@@ -7,6 +7,7 @@
 #![warn(missing_docs)]
 
 pub mod budget;
+mod client;
 pub mod connection;
 pub mod discovery;
 mod gateway;
--- a/crates/transport/src/listener.rs
+++ b/crates/transport/src/listener.rs
@@ -1,9 +1,10 @@
 //! The listener: the application's connections and the requests on them.
 
 use super::budget::{Budget, Permit};
+use super::client::Client;
 use super::gateway::{count, Gateway};
 use super::head::{Framing, Incoming, Watch};
-use super::network::Network;
+use super::network::{Network, Quiet};
 use super::tap::Tapped;
 use super::{length, Task};
 use http_body_util::{BodyExt, Limited};
@@ -33,6 +34,11 @@
 /// taken, and else. Clients keep connections, and one that is quiet for a while should not find its
 /// connection closed under its next request; but some keep theirs and never ask again.
 const IDLE: (f64, f64) = (2_000.0, 90_000.0);
+/// How old a connection on which nothing was asked yet must be before it makes room or ends with the program (ms):
+/// its first request may be under way.
+const FIRST: f64 = 300.0;
+/// How long what a client still sends is read behind the last answer (ms).
+const LINGER: f64 = 300.0;
 /// How often all that is looked at (ms).
 const LOOK: f64 = 100.0;
 /// Longest head that is read; a larger one gets a 431.
@@ -60,10 +66,15 @@
     asked: Cell<bool>,
     /// What comes in.
     incoming: Rc<Incoming>,
-    /// Ends it once nothing is on it.
-    close: Notify,
-    /// Ends it at once: half a request would hold it open.
-    cut: Notify,
+    /// Whether a flow is open on it, whose client may leave.
+    flow_open: Cell<bool>,
+    /// Whether it is to end as soon as nothing is on it, or behind the next answer.
+    unwanted: Cell<bool>,
+    /// Whether bytes may be left unread behind its last answer.
+    untidy: Cell<bool>,
+    /// Asks for a look whether it is to end. What was seen when this was asked may not hold any more: its own task
+    /// looks again.
+    look: Notify,
 }
 
 impl Seat {
@@ -71,6 +82,26 @@
     fn idle(&self) -> Option<f64> {
         self.idle_since.get().filter(|_| self.incoming.begun().is_none())
     }
+
+    /// Whether a request has taken too long to come whole, or the first one to come at all.
+    fn late(&self, now: f64) -> bool {
+        let Some(since) = self.idle_since.get() else { return false };
+        let begun = if self.asked.get() { self.incoming.begun() } else { Some(since) };
+        begun.is_some_and(|begun| now - begun >= REQUEST_TIMEOUT)
+    }
+
+    /// It ends as soon as nothing is on it.
+    fn end_soon(&self) {
+        self.unwanted.set(true);
+        self.look.notify_one();
+    }
+
+    /// Waits until its place is wanted.
+    async fn given_up(&self) {
+        while !self.unwanted.get() {
+            self.look.notified().await;
+        }
+    }
 }
 
 /// The client side.
@@ -82,6 +113,8 @@
     freed: Notify,
     phase: Cell<Phase>,
     accepted_at: Cell<f64>,
+    /// Whether all that clients have connected is accepted, and the next one is awaited.
+    awaiting: Cell<bool>,
     /// Prints the counters.
     counters: Rc<dyn Fn() -> String>,
 }
@@ -98,6 +131,7 @@
             freed: Notify::new(),
             phase: Cell::new(Phase::Open),
             accepted_at,
+            awaiting: Cell::new(false),
             counters,
         })
     }
@@ -106,12 +140,27 @@
     pub async fn run(self: Rc<Self>, socket: N::Listener) {
         let _limits: Task = tokio::task::spawn_local(self.clone().keep_limits()).into();
         loop {
-            let permit = self.room().await;
-            match self.gateway.network().accept(&socket).await {
-                Ok(stream) => {
+            self.awaiting.set(true);
+            let accepted = self.gateway.network().accept(&socket).await;
+            self.awaiting.set(false);
+            match accepted {
+                Ok((stream, quiet)) => {
                     count(&self.gateway.traffic.accepted);
                     self.accepted_at.set(self.gateway.now());
-                    tokio::task::spawn_local(self.clone().serve(stream, permit));
+                    // Only now: room made for a client that never comes would cost another its connection.
+                    let permit = self.room().await;
+                    let number = self.last.get() + 1;
+                    self.last.set(number);
+                    let seat = Rc::new(Seat::default());
+                    seat.idle_since.set(Some(self.gateway.now()));
+                    self.seats.borrow_mut().insert(number, seat.clone());
+                    let listener = self.clone();
+                    tokio::task::spawn_local(async move {
+                        listener.serve(&seat, stream, quiet).await;
+                        listener.seats.borrow_mut().remove(&number);
+                        drop(permit);
+                        listener.freed.notify_one();
+                    });
                 }
                 // Descriptors may be out, or the client has left again: neither ends the listener.
                 Err(_) => {
@@ -129,16 +178,19 @@
                 return permit;
             }
             self.close_idlest();
-            self.freed.notified().await;
+            // The one chosen may have been asked something in this very moment: another one then.
+            let _ = tokio::time::timeout(length(LOOK), self.freed.notified()).await;
         }
     }
 
-    /// Makes room: by a connection that never asked anything, before one of a client that may ask again.
+    /// Makes room: by a connection that never asked anything, before one of a client that may ask again; not by one
+    /// that has only just come, as its first request is under way.
     fn close_idlest(&self) {
-        let seats = self.seats.borrow();
+        let (seats, now) = (self.seats.borrow(), self.gateway.now());
         let idle = seats.values().filter_map(|s| s.idle().map(|since| (s.asked.get(), since, s)));
+        let idle = idle.filter(|(asked, since, _)| *asked || now - since >= FIRST);
         if let Some((.., seat)) = idle.min_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1))) {
-            seat.close.notify_one();
+            seat.end_soon();
         }
     }
 
@@ -150,55 +202,66 @@
             let seats = self.seats.borrow();
             let idle = if seats.len() * 2 > self.budget.limit() { IDLE.0 } else { IDLE.1 };
             for seat in seats.values() {
-                let Some(since) = seat.idle_since.get() else { continue };
-                let begun = if seat.asked.get() { seat.incoming.begun() } else { Some(since) };
-                if begun.is_some_and(|begun| now - begun >= REQUEST_TIMEOUT) {
-                    count(&self.gateway.traffic.late_requests);
-                    seat.cut.notify_one();
-                } else if seat.idle().is_some_and(|since| now - since >= idle) {
+                let long = seat.idle().is_some_and(|since| now - since >= idle);
+                if long && !seat.unwanted.get() {
                     count(&self.gateway.traffic.closed_idle);
-                    seat.close.notify_one();
+                    seat.end_soon();
+                } else if seat.late(now) || self.phase.get() == Phase::Closing {
+                    seat.look.notify_one();
                 }
             }
         }
     }
 
-    async fn serve(self: Rc<Self>, stream: N::Accepted, permit: Permit) {
-        let seat = Rc::new(Seat::default());
-        seat.idle_since.set(Some(self.gateway.now()));
-        self.last.set(self.last.get() + 1);
-        let number = self.last.get();
-        self.seats.borrow_mut().insert(number, seat.clone());
+    /// Whether a connection ends now. A request whose last byte is there is taken, read or not: only where nothing is
+    /// being answered and nothing waits to be read or written may it be closed.
+    fn ends(&self, seat: &Seat, quiet: &Quiet, blocked: bool) -> bool {
+        let now = self.gateway.now();
+        let Some(since) = seat.idle_since.get().filter(|_| !blocked && quiet()) else { return false };
+        if seat.late(now) {
+            count(&self.gateway.traffic.late_requests);
+            return true;
+        }
+        let closing = self.phase.get() == Phase::Closing && (seat.asked.get() || now - since >= FIRST);
+        seat.idle().is_some() && (seat.unwanted.get() || closing)
+    }
+
+    async fn serve(self: &Rc<Self>, seat: &Rc<Seat>, stream: N::Accepted, quiet: Quiet) {
         let watch = Watch { incoming: seat.incoming.clone(), now: self.gateway.clock(), limit: HEAD_LIMIT };
-        let stream = Tapped::new(stream, watch);
+        let mut client = Client::new(stream);
+        let stream = Tapped::new(client.clone(), watch);
         let service = service_fn(|request| self.clone().handle(seat.clone(), request));
         let connection = http1::Builder::new()
             // `keep_limits` has the time: hyper's would run between requests too.
             .header_read_timeout(None)
             .max_buf_size(HEAD_LIMIT)
-            .keep_alive(self.phase.get() != Phase::Closing)
             .serve_connection(TokioIo::new(stream), service);
-        let mut connection = pin!(connection);
-        let gently = async {
+        // hyper's half of it goes at the end of this block, and a flow that is open on it is told by its guard.
+        {
+            let mut connection = pin!(connection);
+            loop {
+                tokio::select! {
+                    biased;
+                    // How it ends is the client's business.
+                    _ = connection.as_mut() => break,
+                    () = client.departed(&seat.incoming, || seat.flow_open.get()) => break,
+                    () = seat.look.notified() => {
+                        if self.ends(seat, &quiet, client.blocked()) {
+                            break;
+                        }
+                    }
+                }
+            }
+        }
+        // Half a request, or one that was turned away unread, has its rest still to come.
+        if seat.untidy.get() || seat.incoming.begun().is_some() {
             tokio::select! {
                 biased;
-                // How it ends is the client's business: a flow that was open on it is told by its guard.
-                _ = connection.as_mut() => {}
-                () = seat.close.notified() => {
-                    connection.as_mut().graceful_shutdown();
-                    let _ = connection.await;
-                }
+                _ = tokio::time::timeout(length(LINGER), client.linger()) => {}
+                // Its place is wanted.
+                () = seat.given_up() => {}
             }
-        };
-        tokio::select! {
-            biased;
-            () = gently => {}
-            // hyper would wait for the rest of half a head.
-            () = seat.cut.notified() => {}
         }
-        self.seats.borrow_mut().remove(&number);
-        drop(permit);
-        self.freed.notify_one();
     }
 
     async fn handle(self: Rc<Self>, seat: Rc<Seat>, request: Request<Body>) -> Result<Reply, Infallible> {
@@ -209,17 +272,22 @@
             // The one that counts depends on the reader, and a body that ends early hides a request.
             _ if seat.incoming.framing() == Some(Framing::Both) => {
                 let reason = "both Content-Length and Transfer-Encoding";
-                self.turn_away(Malformed { status: StatusCode::BAD_REQUEST, reason })
+                self.turn_away(&seat, Malformed { status: StatusCode::BAD_REQUEST, reason })
             }
             "/health/ready" if self.phase.get() == Phase::Open && self.gateway.can_serve() => {
                 plain(StatusCode::OK, "ready\n")
             }
             "/health/ready" => plain(StatusCode::SERVICE_UNAVAILABLE, "not ready\n"),
             "/health/counters" => plain(StatusCode::OK, (self.counters)()),
-            _ => self.flow(came, request).await.unwrap_or_else(|malformed| self.turn_away(malformed)),
+            _ => {
+                let flow = self.flow(came, request, &seat).await;
+                flow.unwrap_or_else(|malformed| self.turn_away(&seat, malformed))
+            }
         };
-        if !seat.incoming.alone() {
-            // What came behind this request would be read unseen; a client that means it asks again.
+        // What came behind this request would be read unseen; a client that means it asks again.
+        let alone = seat.incoming.alone();
+        seat.untidy.set(seat.untidy.get() || !alone);
+        if !alone || seat.unwanted.get() || self.phase.get() == Phase::Closing {
             end_connection(&mut reply);
         }
         seat.incoming.begin_anew();
@@ -227,12 +295,13 @@
         Ok(reply)
     }
 
-    fn turn_away(&self, malformed: Malformed) -> Reply {
+    fn turn_away(&self, seat: &Seat, malformed: Malformed) -> Reply {
+        seat.untidy.set(true);
         count(&self.gateway.traffic.malformed);
         turned_away(malformed)
     }
 
-    async fn flow(&self, came: f64, request: Request<Body>) -> Result<Reply, Malformed> {
+    async fn flow(&self, came: f64, request: Request<Body>, seat: &Seat) -> Result<Reply, Malformed> {
         let too_large = Malformed { status: StatusCode::PAYLOAD_TOO_LARGE, reason: "the body is too large" };
         let (parts, body) = request.into_parts();
         let new = self.gateway.classes.read(&parts)?;
@@ -256,8 +325,10 @@
             reason: "a request with this Request-Id is open",
         })?;
         let guard = Guard { gateway: self.gateway.clone(), id };
+        seat.flow_open.set(true);
         // Routing answers every flow that it took; an answer that never comes is a failure all the same.
         let answer = answer.await.unwrap_or(roseproxy_routing::flow::Answer::Failed);
+        seat.flow_open.set(false);
         drop(guard);
         Ok(to_client(answer))
     }
@@ -266,13 +337,14 @@
     pub fn enter(&self, phase: Phase) {
         self.phase.set(phase);
         if phase == Phase::Closing {
-            self.seats.borrow().values().for_each(|s| s.close.notify_one());
+            self.seats.borrow().values().for_each(|s| s.look.notify_one());
         }
     }
 
-    /// Whether nothing is left to do: no connection, and none for this long (ms).
+    /// Whether nothing is left to do: no connection, none that waits for a place, and none for this long (ms).
     pub fn quiet_for(&self, millis: f64) -> bool {
-        self.seats.borrow().is_empty() && self.gateway.now() - self.accepted_at.get() >= millis
+        let none = self.awaiting.get() && self.seats.borrow().is_empty();
+        none && self.gateway.now() - self.accepted_at.get() >= millis
     }
 }
 
--- a/crates/transport/src/network.rs
+++ b/crates/transport/src/network.rs
@@ -28,8 +28,8 @@
     /// Begins to listen.
     fn listen(&self, address: SocketAddr) -> impl Future<Output = io::Result<Self::Listener>>;
 
-    /// Waits for the next client.
-    fn accept(&self, listener: &Self::Listener) -> impl Future<Output = io::Result<Self::Accepted>>;
+    /// Waits for the next client; with what tells whether its stream is quiet.
+    fn accept(&self, listener: &Self::Listener) -> impl Future<Output = io::Result<(Self::Accepted, Quiet)>>;
 
     /// Opens a stream, with what tells whether it is quiet.
     fn connect(&self, address: SocketAddr) -> impl Future<Output = io::Result<(Self::Opened, Quiet)>>;
@@ -41,28 +41,34 @@
 
 impl Network for Tcp {
     type Listener = TcpListener;
-    type Accepted = TcpStream;
+    type Accepted = Shared;
     type Opened = Shared;
 
     async fn listen(&self, address: SocketAddr) -> io::Result<TcpListener> {
         TcpListener::bind(address).await
     }
 
-    async fn accept(&self, listener: &TcpListener) -> io::Result<TcpStream> {
+    async fn accept(&self, listener: &TcpListener) -> io::Result<(Shared, Quiet)> {
         let (stream, _) = listener.accept().await?;
         // Without it answers only come later; the connection is good all the same.
         let _ = stream.set_nodelay(true);
-        Ok(stream)
+        Ok(shared(stream))
     }
 
     async fn connect(&self, address: SocketAddr) -> io::Result<(Shared, Quiet)> {
-        let stream = Rc::new(TcpStream::connect(address).await?);
+        let stream = TcpStream::connect(address).await?;
         stream.set_nodelay(true)?;
-        let peeked = stream.clone();
-        let quiet = Box::new(move || {
-            let peek = SockRef::from(&*peeked).peek(&mut [MaybeUninit::uninit()]);
-            peek.is_err_and(|e| e.kind() == ErrorKind::WouldBlock)
-        });
-        Ok((Shared(stream), quiet))
+        Ok(shared(stream))
     }
 }
+
+/// A stream, and what asks the system whether it is quiet.
+fn shared(stream: TcpStream) -> (Shared, Quiet) {
+    let stream = Rc::new(stream);
+    let peeked = stream.clone();
+    let quiet = Box::new(move || {
+        let peek = SockRef::from(&*peeked).peek(&mut [MaybeUninit::uninit()]);
+        peek.is_err_and(|e| e.kind() == ErrorKind::WouldBlock)
+    });
+    (Shared(stream), quiet)
+}
