Open a silent watch anew at once, and keep the module's pauses for calls that fail

Read: silence is found after 3 s, then the module's window for a first failure (calls::window) adds up to 0.9 of what discovery must be asked within, 9 s with 300 sidecars, while what was missed counts as told 6 s after the silence began. Small fleets were inside it: 3 s + 1 s at most + the answer, for up to 20 sidecars.

Mended in the watcher, which alone knows silence from a refusal: an open watch that falls silent is opened anew without telling the module of a failure; the next call that fails is one. The beats of sidecars differ by up to 2 s, which spreads their calls. Ruled out: a shorter window in the module for every watch that ends, as all of them end together when discovery goes down, and all first calls would then fall into the outage.

--- a/crates/roseproxy/tests/crossings.rs
+++ b/crates/roseproxy/tests/crossings.rs
@@ -590,3 +590,24 @@
         assert!(!copy.is_finished() || copy.await.expect("no panic").is_none(), "it was written");
     });
 }
+
+/// An open watch that falls silent is opened anew at once, whatever pauses the module keeps after failures: in a fleet
+/// of hundreds those are longer than the time after which what was missed counts as told.
+#[test]
+fn a_silent_watch_is_opened_anew_without_a_pause() {
+    timeless(async {
+        let ((socket, address), config) = (port().await, config());
+        let host = Host::with(config.settings.clone(), Box::new(Wishes));
+        let sidecar = sidecar_of(Tcp, host, config, Clock::system(), &[], 8, 20).await;
+        spawn_local(Watcher::new(sidecar.gateway.clone(), watch::channel(address).1, Some(1)).run());
+        let mut client = TcpStream::connect(sidecar.address).await.expect("connects");
+        client.write_all(request("quote", "1", "").as_bytes()).await.expect("written");
+        let mut stream = open_watch(&socket).await;
+        chunk(&mut stream, "\n").await.expect("read");
+        let began = tokio::time::Instant::now();
+        let anew = tokio::time::timeout(Duration::from_secs(30), open_watch(&socket)).await;
+        assert!(anew.is_ok(), "it waits for the module");
+        assert!(began.elapsed() < Duration::from_secs(4), "{:?}", began.elapsed());
+        assert_eq!(of(&sidecar.gateway, "discovery_failures"), 0);
+    });
+}
--- a/crates/transport/src/discovery.rs
+++ b/crates/transport/src/discovery.rs
@@ -30,6 +30,9 @@
     revision: Option<u64>,
 }
 
+/// A watch that was open has fallen silent.
+struct Silent;
+
 impl<N: Network> Watcher<N> {
     /// A watcher of discovery at this address, for a sidecar that has the list of this version in hand.
     pub fn new(
@@ -56,8 +59,13 @@
                 let mut moves = self.address.clone();
                 tokio::select! {
                     biased;
-                    // It only ever ends by failing.
-                    _ = self.watch(address) => break,
+                    // It only ever ends by failing. One that was open and fell silent is broken, and what it misses
+                    // counts as told 6 s after that: it is opened anew at once. The beats of sidecars differ, which
+                    // spreads their calls; one that finds no answer is a failure like others, with their pauses.
+                    end = self.watch(address) => match end {
+                        Some(Silent) => self.gateway.forget_watch_wish(),
+                        None => break,
+                    },
                     // Another discovery may count its versions otherwise: the whole list is asked for.
                     () = moved(&mut moves) => self.revision = None,
                 }
@@ -69,7 +77,8 @@
         }
     }
 
-    async fn watch(&mut self, address: SocketAddr) -> Option<()> {
+    /// Follows the list until that fails.
+    async fn watch(&mut self, address: SocketAddr) -> Option<Silent> {
         let host = address.to_string();
         let mut connection = connect(self.gateway.network(), address, CONNECT).await?;
         if self.revision.is_none() {
@@ -94,7 +103,10 @@
         let mut alive = self.gateway.now();
         loop {
             let left = alive + SILENCE - self.gateway.now();
-            let frame = tokio::time::timeout(length(left), body.frame()).await.ok()??.ok()?;
+            let Ok(frame) = tokio::time::timeout(length(left), body.frame()).await else {
+                return Some(Silent);
+            };
+            let frame = frame?.ok()?;
             let Ok(data) = frame.into_data() else { continue };
             cutter.take(&data, |piece| {
                 match piece {
