Call a forward that was never written unreachable; catch signals first; name bad times in settings

Read, line by line: forward_overdue reported every forward as timed out, one whose connection never came up too; that may have run by the module's word, so an order was failed that could have been refused. The configuration was read before the signals were caught: a SIGHUP in between ended the program.

--- a/crates/platform/src/wire.rs
+++ b/crates/platform/src/wire.rs
@@ -279,6 +279,19 @@
     need(value, name)?.as_array().ok_or_else(|| format!("settings: {name} is not a list"))
 }
 
+/// A time that nothing could be kept within is an error, and no day on which all is refused.
+fn need_above_0(value: &Value, name: &str) -> Parsed<i64> {
+    let number = need_int(value, name)?;
+    (number > 0).then_some(number).ok_or_else(|| format!("settings: {name} is not a whole number above 0"))
+}
+
+fn optional_float(value: &Value, name: &str, default: f64) -> Parsed<f64> {
+    match value.get(name) {
+        None | Some(Value::Null) => Ok(default),
+        Some(_) => need_float(value, name),
+    }
+}
+
 /// A whole number above 0, where there is one.
 fn positive(group: &Value, name: &str, default: i64) -> Parsed<i64> {
     match group.get(name) {
@@ -326,7 +339,7 @@
             "retryable" => Effect::Safe,
             "fragile" => Effect::Unsafe,
             "dedup" => Effect::Keyed {
-                window: need_int(class, "window")?,
+                window: need_above_0(class, "window")?,
                 group: match need_text(class, "group")? {
                     "all" => Group::All,
                     "zone" => Group::Zone,
@@ -337,10 +350,10 @@
             text => return Err(format!("settings: unknown effect {text}")),
         };
         classes.push(Class {
-            aim: need_int(class, "aim")?,
-            give_up: need_int(class, "give_up")?,
+            aim: need_above_0(class, "aim")?,
+            give_up: need_above_0(class, "give_up")?,
             worth: need_float(class, "worth")?,
-            late_worth: class.get("late_worth").and_then(Value::as_f64).unwrap_or(0.0),
+            late_worth: optional_float(class, "late_worth", 0.0)?,
             effect,
         });
     }
@@ -359,7 +372,7 @@
         zone: all.get("locality").and_then(Value::as_str).map(|z| tag(z) as u32),
         classes,
         tenants: quotas,
-        over_share_worth: all.get("over_share_worth").and_then(Value::as_f64).unwrap_or(1.0),
+        over_share_worth: optional_float(all, "over_share_worth", 1.0)?,
         prices: Prices {
             probe: number(all, "prices", "probe"),
             cross_zone: number(all, "prices", "cross_zone"),
--- a/crates/roseproxy/src/main.rs
+++ b/crates/roseproxy/src/main.rs
@@ -10,13 +10,13 @@
 
 fn run() -> Result<(), String> {
     let read = || Config::load(|name| std::env::var(name).ok());
-    let config = read().map_err(|e| format!("configuration: {e}"))?;
     // One thread: the platform gives the program one core, and routing needs no locks then.
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
     let runtime = runtime.map_err(|e| format!("runtime: {e}"))?;
     tokio::task::LocalSet::new().block_on(&runtime, async {
         // Before anything else, so that a signal that comes early is heeded too.
         let signals = Signals::catch().map_err(|e| format!("signals: {e}"))?;
+        let config = read().map_err(|e| format!("configuration: {e}"))?;
         let say: Rc<dyn Fn(&str)> = Rc::new(|line| eprintln!("roseproxy: {line}"));
         let around = Surroundings { network: Tcp, clock: Clock::system(), say, decider: None };
         let counts = serve(config, around, signals, read).await?;
--- a/crates/roseproxy/tests/crossings.rs
+++ b/crates/roseproxy/tests/crossings.rs
@@ -611,3 +611,44 @@
         assert_eq!(of(&sidecar.gateway, "discovery_failures"), 0);
     });
 }
+
+// ---- connections to targets
+
+/// A target that answers before the request is whole has not begun it: its answer belongs to nothing, and the order goes
+/// to another target, as it never ran.
+#[test]
+fn an_answer_before_the_request_is_whole_is_none() {
+    scene(async {
+        // A pipe that holds less than the request stands for a connection that is written slowly.
+        let (near, mut far) = tokio::io::duplex(64);
+        let mut connection =
+            roseproxy_transport::connection::Connection::start(near, Box::new(|| true)).await.expect("open");
+        let outgoing = roseproxy_platform::request::Outgoing::get(&format!("/{}", "x".repeat(500)), "a");
+        let exchange = spawn_local(async move { connection.exchange(outgoing).await });
+        turns().await;
+        far.write_all(OK.as_bytes()).await.expect("written");
+        let end = exchange.await.expect("no panic");
+        let never = roseproxy_transport::connection::Exchange::Broke { last_byte_written: false };
+        assert_eq!(format!("{end:?}"), format!("{never:?}"));
+    });
+}
+
+/// An order whose connection never comes up in its time was never written: it is refused, and not failed.
+#[test]
+fn an_order_whose_connection_never_came_up_may_be_refused() {
+    scene(async {
+        let (_socket, target) = port().await;
+        let network = Gated::default();
+        network.connects.shut();
+        let config = config_with(|s| {
+            s["limits"]["connect_timeout"] = json!(60_000_000);
+            s["request_classes"][1]["aim"] = json!(20_000);
+        });
+        let sidecar = sidecar_on(network, config, Clock::system(), &[target], 8, 20).await;
+        let mut client = TcpStream::connect(sidecar.address).await.expect("connects");
+        let text = request("place-order", "1", "a").replace("Timeout: 50", "Timeout: 0.060");
+        let answer = ask(&mut client, &text).await;
+        assert!(answer.starts_with("HTTP/1.1 503"), "{answer}");
+        assert!(of(&sidecar.gateway, "forwards_sent") > 0 && of(&sidecar.gateway, "forwards_timed_out") == 0);
+    });
+}
--- a/crates/roseproxy/tests/protocol.rs
+++ b/crates/roseproxy/tests/protocol.rs
@@ -22,7 +22,7 @@
                 "grace_to_answer": 20000, "must_ask_in": 10000000, "warm_up": 23000000},
             "report": {"how": "on_probe", "names": ["active", "waiting", "cpu"]},
             "request_classes": [
-                {"aim": 600000, "effect": "retryable", "give_up": 1500000, "name": "quote", "worth": 2.0},
+                {"aim": 600000, "effect": "retryable", "give_up": 1500000, "late_worth": 0.0, "name": "quote", "worth": 2.0},
                 {"aim": 500000, "effect": "fragile", "give_up": 2000000, "name": "place-order", "worth": 8.0},
                 {"aim": 600000, "effect": "dedup", "give_up": 2000000, "group": "cell", "name": "stock-update",
                     "window": 4000000, "worth": 1.0}]}})
@@ -166,6 +166,10 @@
         ("/settings", json!({}), "limits"),
         ("/settings/customers/1/quota_per_s", json!("ten"), "quota_per_s"),
         ("/settings/customers/0/quota_per_s", json!(-1), "quota_per_s"),
+        ("/settings/request_classes/0/give_up", json!(0), "give_up is not a whole number above 0"),
+        ("/settings/request_classes/0/aim", json!(-5), "aim is not a whole number above 0"),
+        ("/settings/request_classes/0/late_worth", json!("half"), "late_worth is not a number"),
+        ("/settings/over_share_worth", json!("none"), "over_share_worth is not a number"),
         ("/settings/customers/0/name", json!(null), "name"),
         ("/settings/fleet_size", json!("four"), "fleet_size"),
         ("/settings/limits/conn_idle", json!(0), "conn_idle"),
--- a/crates/routing/src/send.rs
+++ b/crates/routing/src/send.rs
@@ -77,9 +77,11 @@
     }
 
     pub(super) fn forward_overdue(&mut self, now: f64, id: ForwardId) {
-        if self.forwards.contains_key(&id) {
+        if let Some(forward) = self.forwards.get(&id) {
+            // Nothing was written of one whose connection never came up: it never runs, and may go elsewhere.
+            let outcome = if forward.written { Outcome::TimedOut } else { Outcome::Unreachable };
             self.orders.push_back(Order::GiveUp(id));
-            self.forward_ended(now, id, ForwardEnd::Lost(Outcome::TimedOut), None);
+            self.forward_ended(now, id, ForwardEnd::Lost(outcome), None);
         }
     }
 
