Rest a connection before its next request; hold a repeat's last byte inside its window

Second answers. One that comes behind the next request is taken for its answer: Connection::state looks at the socket only up to the write (pool.rs, take). Mended where connections are taken: one rests 20 ms after its answer, and another kept one, which has rested, or a new one carries the next request. Ruled out: telling it by its bytes (nothing in it names its request).

Read: the key's window was asked for at the first byte, while a repeat's time counts from its last one, which a target that does not read can hold back (send.rs, begin_write; rules.rs, may_join). begin_write now returns by when the last byte must be out, 20 ms inside the window, and the connection breaks off what is not whole by then: it never runs.

Four tests on sockets took a kept connection again at once; they let it rest on a clock that is set, or take the new connection, and assert what they did before.

--- a/crates/roseproxy/tests/common/mod.rs
+++ b/crates/roseproxy/tests/common/mod.rs
@@ -9,6 +9,7 @@
 use roseproxy_transport::budget::Budget;
 use roseproxy_transport::listener::Listener;
 use roseproxy_transport::network::{Network, Tcp};
+use roseproxy_transport::pool::REST;
 use roseproxy_transport::Gateway;
 use serde_json::{json, Value};
 use std::future::Future;
@@ -162,3 +163,24 @@
     client.write_all(text.as_bytes()).await.expect("the sidecar reads");
     message(client).await.expect("a whole answer")
 }
+
+pub fn of<N: Network>(gateway: &Gateway<N>, name: &str) -> u64 {
+    gateway.counts().iter().find(|(n, _)| n == name).map_or(0, |(_, count)| *count)
+}
+
+/// Waits until something holds; a test that waits in vain fails.
+pub async fn until(what: &str, holds: impl Fn() -> bool) {
+    for _ in 0..15_000 {
+        if holds() {
+            return;
+        }
+        tokio::time::sleep(Duration::from_millis(1)).await;
+    }
+    panic!("not within fifteen seconds: {what}");
+}
+
+/// Waits until so many connections to targets are kept, and lets them have their rest; the clock is one that stands.
+pub async fn rested<N: Network>(sidecar: &Sidecar<N>, clock: &Clock, kept: u64) {
+    until("connections are kept", || of(&sidecar.gateway, "targets_idle") == kept).await;
+    clock.set(clock.now() + REST);
+}
--- a/crates/roseproxy/tests/crossings.rs
+++ b/crates/roseproxy/tests/crossings.rs
@@ -13,7 +13,6 @@
 use roseproxy_transport::discovery::Watcher;
 use roseproxy_transport::listener::Phase;
 use roseproxy_transport::network::{Network, Quiet, Tcp};
-use roseproxy_transport::Gateway;
 use serde_json::json;
 use std::cell::{Cell, RefCell};
 use std::future::Future;
@@ -57,19 +56,26 @@
     }
 }
 
-/// The system's sockets, with a gate before what is opened and one before what clients' streams bring in.
+/// The system's sockets, with gates before what is opened, before what clients' streams bring in and take, and before what
+/// targets' streams take.
 #[derive(Clone, Default)]
 struct Gated {
     connects: Rc<Gate>,
     reads: Rc<Gate>,
+    answers: Rc<Gate>,
+    sends: Rc<Gate>,
 }
 
-struct Held<S>(S, Rc<Gate>);
+struct Held<S> {
+    stream: S,
+    reads: Rc<Gate>,
+    writes: Rc<Gate>,
+}
 
 impl Network for Gated {
     type Listener = TcpListener;
     type Accepted = Held<<Tcp as Network>::Accepted>;
-    type Opened = <Tcp as Network>::Opened;
+    type Opened = Held<<Tcp as Network>::Opened>;
 
     async fn listen(&self, address: SocketAddr) -> io::Result<TcpListener> {
         Tcp.listen(address).await
@@ -77,12 +83,13 @@
 
     async fn accept(&self, listener: &TcpListener) -> io::Result<(Self::Accepted, Quiet)> {
         let (stream, quiet) = Tcp.accept(listener).await?;
-        Ok((Held(stream, self.reads.clone()), quiet))
+        Ok((Held { stream, reads: self.reads.clone(), writes: self.answers.clone() }, quiet))
     }
 
     async fn connect(&self, address: SocketAddr) -> io::Result<(Self::Opened, Quiet)> {
         std::future::poll_fn(|cx| self.connects.poll(cx)).await;
-        Tcp.connect(address).await
+        let (stream, quiet) = Tcp.connect(address).await?;
+        Ok((Held { stream, reads: Rc::default(), writes: self.sends.clone() }, quiet))
     }
 }
 
@@ -92,38 +99,24 @@
         cx: &mut Context<'_>,
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        std::task::ready!(self.1.poll(cx));
-        Pin::new(&mut self.0).poll_read(cx, buf)
+        std::task::ready!(self.reads.poll(cx));
+        Pin::new(&mut self.stream).poll_read(cx, buf)
     }
 }
 
 impl<S: AsyncWrite + Unpin> AsyncWrite for Held<S> {
     fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.0).poll_write(cx, buf)
+        std::task::ready!(self.writes.poll(cx));
+        Pin::new(&mut self.stream).poll_write(cx, buf)
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.0).poll_flush(cx)
+        Pin::new(&mut self.stream).poll_flush(cx)
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.0).poll_shutdown(cx)
-    }
-}
-
-fn of<N: Network>(gateway: &Gateway<N>, name: &str) -> u64 {
-    gateway.counts().iter().find(|(n, _)| n == name).map_or(0, |(_, count)| *count)
-}
-
-/// Waits until something holds; a test that waits in vain fails.
-async fn until(what: &str, holds: impl Fn() -> bool) {
-    for _ in 0..15_000 {
-        if holds() {
-            return;
-        }
-        tokio::time::sleep(Duration::from_millis(1)).await;
+        Pin::new(&mut self.stream).poll_shutdown(cx)
     }
-    panic!("not within fifteen seconds: {what}");
 }
 
 /// Lets whatever is ready run.
@@ -332,6 +325,26 @@
     });
 }
 
+/// An answer that is given waits to be written when its connection is to end: it is written first.
+#[test]
+fn a_close_waits_for_an_answer_that_waits_to_be_written() {
+    timeless(async {
+        let (socket, target) = port().await;
+        spawn_local(serve(socket, 1));
+        let network = Gated::default();
+        network.answers.shut();
+        let sidecar = sidecar_on(network.clone(), config(), Clock::system(), &[target], 8, 20).await;
+        let mut client = TcpStream::connect(sidecar.address).await.expect("connects");
+        client.write_all(request("place-order", "1", "a").as_bytes()).await.expect("written");
+        until("it is answered", || of(&sidecar.gateway, "flows_served") == 1).await;
+        sidecar.listener.enter(Phase::Closing);
+        tokio::time::sleep(Duration::from_millis(1_000)).await;
+        network.answers.open();
+        let answer = message(&mut client).await.expect("a whole answer");
+        assert!(answer.ends_with("priced"), "{answer}");
+    });
+}
+
 // ---- the end
 
 /// Lets the whole program run from a configuration.
@@ -391,7 +404,8 @@
 fn the_end_waits_for_connections_that_wait_for_a_place() {
     scene(async {
         let (socket, target) = port().await;
-        let sidecar = sidecar(&[target], 1).await;
+        // A clock that stands, so that the first connection to the target never has its rest.
+        let sidecar = sidecar_on(Tcp, config(), Clock::manual(1_000_000.0), &[target], 1, 20).await;
         let mut client = TcpStream::connect(sidecar.address).await.expect("connects");
         client.write_all(request("quote", "1", "").as_bytes()).await.expect("written");
         let (mut stream, _) = socket.accept().await.expect("the sidecar connects");
@@ -409,6 +423,7 @@
         }));
         stream.write_all(OK.as_bytes()).await.expect("written");
         assert!(message(&mut client).await.expect("a whole answer").ends_with("priced"));
+        let (mut stream, _) = socket.accept().await.expect("the sidecar connects again");
         message(&mut stream).await.expect("the other request");
         assert!(!done.get(), "the end was near while a request waited");
         stream.write_all(OK.as_bytes()).await.expect("written");
@@ -591,6 +606,40 @@
     });
 }
 
+/// A repeat whose target does not read it: the window passes before its last byte is out, which is when its time counts
+/// from. It is broken off then, and never runs.
+#[test]
+fn a_repeat_that_is_not_whole_within_the_window_is_broken_off() {
+    timeless(async {
+        let ((first, one), (second, two)) = (port().await, port().await);
+        let network = Gated::default();
+        let config = config_with(|s| {
+            s["limits"]["connect_timeout"] = json!(60_000_000);
+            s["limits"]["max_attempts"] = json!(2);
+            s["request_classes"][2]["give_up"] = json!(20_000_000);
+        });
+        let clock = Clock::manual(1_000_000.0);
+        let sidecar = sidecar_on(network.clone(), config, clock, &[one, two], 8, 20).await;
+        let mut client = TcpStream::connect(sidecar.address).await.expect("connects");
+        let key = "Idempotency-Key: 5c0f\r\nContent-Length";
+        let text = request("stock-update", "1", "sold=1").replace("Content-Length", key);
+        client.write_all(text.as_bytes()).await.expect("written");
+        let (mut stream, other) = tokio::select! {
+            came = first.accept() => (came.expect("the sidecar connects").0, second),
+            came = second.accept() => (came.expect("the sidecar connects").0, first),
+        };
+        message(&mut stream).await.expect("a request");
+        network.sends.shut();
+        drop(stream);
+        let (mut copy, _) = other.accept().await.expect("the sidecar connects");
+        let answer = tokio::time::timeout(Duration::from_secs(10), message(&mut client)).await;
+        let answer = answer.expect("the repeat is left to be written at any time").expect("a whole answer");
+        assert!(answer.starts_with("HTTP/1.1 502"), "{answer}");
+        network.sends.open();
+        assert!(message(&mut copy).await.is_none(), "it was written after all");
+    });
+}
+
 /// An open watch that falls silent is opened anew at once, whatever pauses the module keeps after failures: in a fleet
 /// of hundreds those are longer than the time after which what was missed counts as told.
 #[test]
@@ -633,6 +682,46 @@
     });
 }
 
+/// A target's second answer comes some milliseconds late, when the next request is out: it is not taken for the answer to
+/// that, as a connection rests before it is used again.
+#[test]
+fn a_second_answer_that_comes_late_is_not_taken_for_the_next_one() {
+    scene(async {
+        let (socket, target) = port().await;
+        let clock = Clock::manual(1_000_000.0);
+        let sidecar = sidecar_on(Tcp, config(), clock.clone(), &[target], 8, 20).await;
+        let mut client = TcpStream::connect(sidecar.address).await.expect("connects");
+        client.write_all(request("quote", "1", "").as_bytes()).await.expect("written");
+        let (mut first, _) = socket.accept().await.expect("the sidecar connects");
+        message(&mut first).await.expect("a request");
+        first.write_all(OK.as_bytes()).await.expect("written");
+        assert!(message(&mut client).await.expect("a whole answer").ends_with("priced"));
+        until("it is kept", || of(&sidecar.gateway, "targets_idle") == 1).await;
+        client.write_all(request("quote", "2", "").as_bytes()).await.expect("written");
+        let anew = tokio::select! {
+            came = socket.accept() => Some(came.expect("the sidecar connects").0),
+            _ = message(&mut first) => None,
+        };
+        first.write_all(OK.as_bytes()).await.expect("written");
+        let mut next = match anew {
+            Some(mut stream) => {
+                message(&mut stream).await.expect("a request");
+                stream
+            }
+            None => first,
+        };
+        let other = OK.replace("priced", "second");
+        next.write_all(other.as_bytes()).await.expect("written");
+        let answer = message(&mut client).await.expect("a whole answer");
+        assert!(answer.ends_with("second"), "{answer}");
+        // Once it has rested it is used again.
+        rested(&sidecar, &clock, 2).await;
+        client.write_all(request("quote", "3", "").as_bytes()).await.expect("written");
+        let third = message(&mut next).await.expect("a request");
+        assert!(third.contains("request-id: 3"), "{third}");
+    });
+}
+
 /// An order whose connection never comes up in its time was never written: it is refused, and not failed.
 #[test]
 fn an_order_whose_connection_never_came_up_may_be_refused() {
--- a/crates/roseproxy/tests/sockets.rs
+++ b/crates/roseproxy/tests/sockets.rs
@@ -3,7 +3,7 @@
 mod common;
 
 use common::*;
-use roseproxy::{config::Config, reload::Reload};
+use roseproxy::{config::Config, reload::Reload, Clock};
 use roseproxy_platform::request::Outgoing;
 use roseproxy_transport::connect;
 use roseproxy_transport::connection::State;
@@ -21,12 +21,14 @@
 fn a_request_passes_unchanged_and_its_answer_comes_back_whole() {
     scene(async {
         let (socket, target) = port().await;
-        let sidecar = sidecar(&[target], 8).await;
+        let clock = Clock::manual(1_000_000.0);
+        let sidecar = sidecar_on(Tcp, config(), clock.clone(), &[target], 8, 20).await;
         let mut client = TcpStream::connect(sidecar.address).await.expect("connects");
         // Both on one connection: a handshake is dear.
         let served = spawn_local(serve(socket, 2));
         let answer = ask(&mut client, &request("place-order", "9b1f03aa", "size=2x3")).await;
         assert!(answer.starts_with("HTTP/1.1 200") && answer.ends_with("\r\n\r\npriced"), "{answer}");
+        rested(&sidecar, &clock, 1).await;
         ask(&mut client, &request("quote", "aa", "")).await;
         let got = served.await.expect("no panic");
         let (first, second) = (&got[0], &got[1]);
@@ -65,7 +67,8 @@
 fn an_order_on_a_stale_connection_is_never_sent_again() {
     scene(async {
         let (socket, target) = port().await;
-        let sidecar = sidecar(&[target], 8).await;
+        let clock = Clock::manual(1_000_000.0);
+        let sidecar = sidecar_on(Tcp, config(), clock.clone(), &[target], 8, 20).await;
         let mut client = TcpStream::connect(sidecar.address).await.expect("connects");
         let again = spawn_local(async move {
             let (mut stream, _) = socket.accept().await.expect("the sidecar connects");
@@ -77,6 +80,7 @@
             drop(socket.accept().await);
         });
         ask(&mut client, &request("place-order", "1", "a")).await;
+        rested(&sidecar, &clock, 1).await;
         let answer = ask(&mut client, &request("place-order", "2", "b")).await;
         assert!(answer.starts_with("HTTP/1.1 502"), "{answer}");
         let counts = sidecar.gateway.counts();
@@ -149,7 +153,8 @@
 fn an_id_that_is_still_open_is_turned_away() {
     scene(async {
         let (socket, target) = port().await;
-        let sidecar = sidecar(&[target], 8).await;
+        let clock = Clock::manual(1_000_000.0);
+        let sidecar = sidecar_on(Tcp, config(), clock.clone(), &[target], 8, 20).await;
         let mut client = TcpStream::connect(sidecar.address).await.expect("connects");
         client.write_all(request("place-order", "1", "a").as_bytes()).await.expect("written");
         let (mut stream, _) = socket.accept().await.expect("the sidecar connects");
@@ -158,6 +163,7 @@
         assert!(ask(&mut other, &request("place-order", "1", "b")).await.starts_with("HTTP/1.1 409"));
         stream.write_all(OK.as_bytes()).await.expect("written");
         assert!(message(&mut client).await.expect("a whole answer").ends_with("priced"));
+        rested(&sidecar, &clock, 1).await;
         // Once it has its answer, nothing of it is kept.
         client.write_all(request("quote", "1", "").as_bytes()).await.expect("written");
         message(&mut stream).await.expect("a request");
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -29,7 +29,8 @@
 use std::collections::{HashMap, VecDeque};
 use timers::{Due, Timers};
 
-/// Kept back from the client's time, so that the answer's last byte is there before it gives up (ms).
+/// Kept back from the client's time, so that the answer's last byte is there before it gives up, and from a key's
+/// window, so that a repeat's is inside it (ms).
 pub const SPARE: f64 = 20.0;
 /// How long a probe may take (ms): a report that comes later tells nothing of now.
 pub const PROBE_PATIENCE: f64 = 300.0;
--- a/crates/routing/src/rules.rs
+++ b/crates/routing/src/rules.rs
@@ -1,32 +1,39 @@
 //! The rules on repeats and refusals, enforced at the instant of acting, whatever the module decided before.
 
 use super::flow::{FlowId, ForwardId};
-use super::{time, Host, Written};
+use super::{time, Host, Written, SPARE};
 use roseproxy_decision::interface::{Effect, Group, Outcome, ServerId};
 
 impl Host {
-    /// Whether a forward may be written beside and after the others of its flow.
-    pub(super) fn may_join(&self, now: f64, id: ForwardId, target: ServerId) -> bool {
+    /// By when the last byte of a forward must be out beside and after the others of its flow, as that is what its time
+    /// counts from: `None` where it may not be written any more, infinity where nothing binds it.
+    pub(super) fn may_join(&self, now: f64, id: ForwardId, target: ServerId) -> Option<f64> {
         // A flow that has ended has no client, or its answer.
-        let Some(flow) = self.flows.get(&id.flow).filter(|f| now < f.deadline) else { return false };
-        let Some(member) = self.members.get(&target) else { return false };
-        let mut others = flow.written.iter().filter(|w| w.attempt != id.attempt);
+        let flow = self.flows.get(&id.flow).filter(|f| now < f.deadline)?;
+        let member = self.members.get(&target)?;
         let effect = self.settings.classes.get(flow.class).map(|c| c.effect);
-        others.all(|w| {
-            let allowed = match effect {
-                Some(Effect::Safe) => true,
+        let mut whole_by = f64::INFINITY;
+        for other in flow.written.iter().filter(|w| w.attempt != id.attempt) {
+            if other.out && !self.settings.second_copies {
+                return None;
+            }
+            match effect {
+                Some(Effect::Safe) => {}
                 Some(Effect::Keyed { group, window }) => {
-                    now - w.sent < time::to_millis(window)
-                        && match group {
-                            Group::All => true,
-                            Group::Zone => w.zone == member.target.zone,
-                            Group::Cell => w.cell == member.target.cell,
-                        }
+                    let within = match group {
+                        Group::All => true,
+                        Group::Zone => other.zone == member.target.zone,
+                        Group::Cell => other.cell == member.target.cell,
+                    };
+                    if !within {
+                        return None;
+                    }
+                    whole_by = whole_by.min(other.sent + time::to_millis(window) - SPARE);
                 }
-                Some(Effect::Unsafe) | None => false,
-            };
-            allowed && (self.settings.second_copies || !w.out)
-        })
+                Some(Effect::Unsafe) | None => return None,
+            }
+        }
+        (now < whole_by).then_some(whole_by)
     }
 
     /// Whether a flow may be refused: that says that none of it takes effect twice if it is tried again.
--- a/crates/routing/src/send.rs
+++ b/crates/routing/src/send.rs
@@ -43,16 +43,15 @@
     }
 
     /// Asked right before a forward's first byte, which may come long after the decision, as connections come
-    /// up late: false where it shall not be written any more. The front then reports it as
-    /// [`Outcome::NotSent`]. Where it is true, the forward counts as written.
-    pub fn begin_write(&mut self, now: f64, id: ForwardId) -> bool {
-        let Some(forward) = self.forwards.get(&id) else { return false };
+    /// up late: `None` where it shall not be written any more. The front then reports it as
+    /// [`Outcome::NotSent`]. Else the forward counts as written, and its last byte must be out by the time
+    /// returned, infinity where there is no hurry: the front breaks it off else.
+    pub fn begin_write(&mut self, now: f64, id: ForwardId) -> Option<f64> {
+        let forward = self.forwards.get(&id)?;
         let (target, sent) = (forward.target, forward.sent);
-        if !self.takes_work(now, target) || !self.may_join(now, id, target) {
-            return false;
-        }
+        let whole_by = self.may_join(now, id, target).filter(|_| self.takes_work(now, target))?;
         self.note_written(id, target, sent);
-        true
+        Some(whole_by)
     }
 
     /// A forward has ended on the network. One that was given up before is heard no more.
--- a/crates/routing/tests/routing.rs
+++ b/crates/routing/tests/routing.rs
@@ -146,11 +146,11 @@
     let mut rig = Rig::new();
     rig.flow(QUOTE, 1900.0);
     let (id, to) = rig.out[0];
-    assert!(rig.host.begin_write(rig.now(), id));
+    assert!(rig.host.begin_write(rig.now(), id).is_some());
     rig.host.targets(rig.now(), Update::Changes, &[target(to.0, Readiness::Draining)]);
-    assert!(rig.host.begin_write(rig.now(), id), "a drain leaves some grace");
+    assert!(rig.host.begin_write(rig.now(), id).is_some(), "a drain leaves some grace");
     rig.clock += 1000.0;
-    assert!(!rig.host.begin_write(rig.now(), id), "and no more than that");
+    assert!(rig.host.begin_write(rig.now(), id).is_none(), "and no more than that");
     rig.end(id, ForwardEnd::Lost(Outcome::NotSent));
     let again: Vec<_> = rig.out.iter().map(|(_, to)| *to).collect();
     assert!(again.len() == 1 && again[0] != to, "it goes elsewhere: {again:?}");
--- a/crates/transport/src/gateway.rs
+++ b/crates/transport/src/gateway.rs
@@ -322,11 +322,12 @@
         mut line: Line,
     ) -> (ForwardEnd, Option<Load>) {
         let now = self.now();
-        if !self.host.borrow_mut().begin_write(now, id) {
+        let whole_by = self.host.borrow_mut().begin_write(now, id);
+        let Some(whole_by) = whole_by else {
             self.keep(target, line);
             return (ForwardEnd::Lost(Outcome::NotSent), None);
-        }
-        match line.connection.exchange(passing.to_target(until - now)).await {
+        };
+        match line.connection.exchange_by(passing.to_target(until - now), whole_by - now).await {
             Exchange::Answered(status, headers, body) => {
                 self.keep(target, line);
                 (outcome::of_answer(status, &headers, body), load::of_headers(&headers))
--- a/crates/transport/src/pool.rs
+++ b/crates/transport/src/pool.rs
@@ -10,6 +10,10 @@
 /// the other side's close.
 const IDLE_SHARE: f64 = 0.6;
 
+/// How long a connection rests after an answer before it carries the next request (ms). A spoilt answer may be followed by
+/// a second one some milliseconds late; behind a request written meanwhile nothing tells it from the answer to that.
+pub const REST: f64 = 20.0;
+
 /// An open connection with its place in the budget.
 #[derive(Debug)]
 pub struct Line {
@@ -35,10 +39,13 @@
         Pool { idle: BTreeMap::new(), longest: conn_idle * IDLE_SHARE }
     }
 
-    /// The connection to a target that was used last, so that those not needed grow old.
+    /// The connection to a target that was used last, of those that have rested, so that those not needed grow old.
     pub fn take(&mut self, now: f64, target: ServerId, address: SocketAddr) -> Option<Line> {
         let lines = self.idle.get_mut(&target)?;
-        while let Some((since, line)) = lines.pop() {
+        let mut rested = lines.partition_point(|(since, _)| now - since >= REST);
+        while rested > 0 {
+            rested -= 1;
+            let (since, line) = lines.remove(rested);
             let fresh = now - since < self.longest;
             // One that the target closed, or that leads to where it stood before, is of no use.
             if fresh && line.address == address && line.connection.state() == State::Idle {
