Break off what is written for a client that has left; end no drain by a list that is behind

Read: a forward counts as written from its first byte on, and Host::close_flow leaves those alone; where the target does not read, its last byte, which is when it is sent on, could go out long after the client had left (gateway.rs, exchange). The wait for an answer now tells its forwards when it ends, and one that is not whole then is broken off; it is reported as not sent, as that tells nothing of the target. Whole ones stay the module's business.

Read: a list whose version is behind the one in hand was taken as it came (discovery.rs, take): a discovery that hangs back, as after a move by SIGHUP, would put a server back into service whose drain is known. The module and the host would then send past the grace. Such a list now takes back nobody who is leaving and has not started anew; the next one is believed again, so that a discovery that counts from the start is followed.

Tests, each seen to fail without its mend: a_request_whose_client_left_while_it_was_written_is_broken_off ('it was written'), a_list_behind_the_one_in_hand_ends_no_drain ('6 in_service', true where false).

--- a/crates/roseproxy/tests/crossings.rs
+++ b/crates/roseproxy/tests/crossings.rs
@@ -178,6 +178,30 @@
     }
 }
 
+/// A request that a target does not read, so that a part of it waits to be written when its client leaves: the rest is
+/// not written, and it never runs.
+#[test]
+fn a_request_whose_client_left_while_it_was_written_is_broken_off() {
+    scene(async {
+        let (socket, target) = port().await;
+        let network = Gated::default();
+        network.sends.shut();
+        let config = config_with(|s| s["limits"]["cancel"] = json!(false));
+        let sidecar = sidecar_on(network.clone(), config, Clock::system(), &[target], 8, 20).await;
+        let mut client = TcpStream::connect(sidecar.address).await.expect("connects");
+        client.write_all(request("place-order", "left", "a").as_bytes()).await.expect("written");
+        let (mut stream, _) = socket.accept().await.expect("the sidecar connects");
+        until("it is to be written", || of(&sidecar.gateway, "targets_connected") == 1).await;
+        turns().await;
+        drop(client);
+        until("the client is missed", || sidecar.gateway.open_flows() == 0).await;
+        turns().await;
+        network.sends.open();
+        assert!(message(&mut stream).await.is_none(), "it was written");
+        assert_eq!(of(&sidecar.gateway, "forwards_not_sent"), 1, "the target is not to blame");
+    });
+}
+
 /// A client that was gone before its connection had a place: request and end are read in one go.
 #[test]
 fn a_departure_that_comes_with_the_last_byte_is_heeded() {
@@ -530,6 +554,32 @@
     });
 }
 
+/// A list that is behind the one in hand comes from a discovery that hangs back: it takes nobody back into service who
+/// is leaving. One that counts anew is believed again with its next list.
+#[test]
+fn a_list_behind_the_one_in_hand_ends_no_drain() {
+    scene(async {
+        let ((socket, address), (_, target)) = (port().await, port().await);
+        let sidecar = sidecar_on(Tcp, pushed(), Clock::system(), &[target], 8, 20).await;
+        spawn_local(Watcher::new(sidecar.gateway.clone(), watch::channel(address).1, Some(7)).run());
+        let mut stream = open_watch(&socket).await;
+        let lists = [
+            (8, false, "terminating", false),
+            (6, true, "in_service", false),
+            (7, false, "in_service", true),
+            (8, false, "terminating", false),
+            (9, true, "in_service", true),
+        ];
+        // The list that a sidecar starts with counts too.
+        for (taken, (revision, complete, phase, serves)) in (2..).zip(lists) {
+            let text = list(revision, complete, &[(target, phase)]) + "\n";
+            chunk(&mut stream, &text).await.expect("read");
+            until("the list is taken", || of(&sidecar.gateway, "discovery_lists") == taken).await;
+            assert_eq!(sidecar.gateway.can_serve(), serves, "{revision} {phase}");
+        }
+    });
+}
+
 /// Asks for a watch with each request, and for nothing else.
 struct Wishes;
 
--- a/crates/routing/src/take_in.rs
+++ b/crates/routing/src/take_in.rs
@@ -70,6 +70,16 @@
         self.forget_gone();
     }
 
+    /// In a list that may be older than the one in hand: marks those that are leaving, unless they have started anew since.
+    pub fn keep_leaving(&self, targets: &mut [Target]) {
+        for target in targets {
+            let known = self.members.get(&target.id).filter(|m| m.leaving_since.is_some());
+            if let Some(member) = known.filter(|m| m.target.started_at == target.started_at) {
+                target.readiness = member.target.readiness;
+            }
+        }
+    }
+
     /// A call to discovery failed or the watch broke; the list in hand stays.
     pub fn targets_failed(&mut self, now: f64) {
         self.book.list_failures += 1;
--- a/crates/transport/src/connection.rs
+++ b/crates/transport/src/connection.rs
@@ -3,7 +3,7 @@
 use super::meter::Meter;
 use super::network::Quiet;
 use super::tap::Tapped;
-use super::{length, Task};
+use super::Task;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::{Body, Incoming};
@@ -12,7 +12,7 @@
 use hyper_util::rt::TokioIo;
 use roseproxy_platform::request::Outgoing;
 use roseproxy_platform::BODY_LIMIT;
-use std::future::pending;
+use std::future::{pending, Future};
 use tokio::io::{AsyncRead, AsyncWrite};
 
 /// Where a connection stands.
@@ -93,15 +93,16 @@
         self.exchange_up_to(outgoing, BODY_LIMIT).await
     }
 
-    /// The same for a request that must not be written whole after so many milliseconds: one of which something is
-    /// unwritten then is broken off, and never runs.
-    pub async fn exchange_by(&mut self, outgoing: Outgoing, whole_within: f64) -> Exchange {
+    /// The same for a request that must not be written on from some moment: where it is not whole then it is broken
+    /// off, and never runs.
+    pub async fn exchange_unless(
+        &mut self,
+        outgoing: Outgoing,
+        too_late: impl Future<Output = ()>,
+    ) -> Exchange {
         let (written, whole_at) = (self.meter.clone(), self.meter.written() + outgoing.length);
-        let too_late = async {
-            match whole_within.is_finite() {
-                true => tokio::time::sleep(length(whole_within)).await,
-                false => pending().await,
-            }
+        let broken_off = async {
+            too_late.await;
             if written.written() >= whole_at {
                 pending().await
             }
@@ -109,7 +110,7 @@
         tokio::select! {
             biased;
             end = self.exchange(outgoing) => end,
-            () = too_late => Exchange::Broke { last_byte_written: false },
+            () = broken_off => Exchange::Broke { last_byte_written: false },
         }
     }
 
--- a/crates/transport/src/discovery.rs
+++ b/crates/transport/src/discovery.rs
@@ -28,6 +28,8 @@
     /// The version in hand. `None` has the whole list asked for first, which is dear: every line is work
     /// for discovery, and when all sidecars start at once it answers few calls a second.
     revision: Option<u64>,
+    /// The version of the list taken last, whoever it came from.
+    last: u64,
 }
 
 /// A watch that was open has fallen silent.
@@ -40,7 +42,7 @@
         address: watch::Receiver<SocketAddr>,
         known: Option<u64>,
     ) -> Watcher<N> {
-        Watcher { gateway, address, revision: known }
+        Watcher { gateway, address, revision: known, last: known.unwrap_or(0) }
     }
 
     /// Watches whenever routing wants it, and tells it of failures; routing's timers, which the
@@ -127,9 +129,14 @@
     fn take(&mut self, text: &[u8]) {
         let traffic = &self.gateway.traffic;
         match discovery::read(text) {
-            Ok(Listing { revision, update, targets, unread }) => {
+            Ok(Listing { revision, update, mut targets, unread }) => {
                 traffic.bad_lists.set(traffic.bad_lists.get() + unread as u64);
-                self.revision = Some(revision);
+                // One that is behind the list in hand may be older than the word of a drain. It may also come from a
+                // discovery that counts anew, so that it is taken for all the rest.
+                if revision < self.last {
+                    self.gateway.keep_leaving(&mut targets);
+                }
+                (self.revision, self.last) = (Some(revision), revision);
                 self.gateway.targets(update, &targets);
             }
             Err(reason) => {
--- a/crates/transport/src/gateway.rs
+++ b/crates/transport/src/gateway.rs
@@ -62,6 +62,8 @@
 struct Waiting {
     passing: Rc<Passing>,
     answer: oneshot::Sender<Answer>,
+    /// Tells its forwards that nobody waits any more.
+    ended: Rc<Notify>,
 }
 
 /// Carries out routing's orders on sockets and reports back.
@@ -140,7 +142,8 @@
         }
         let (answer, receiver) = oneshot::channel();
         let id = self.host.borrow_mut().take_in(self.now(), new);
-        self.waiting.borrow_mut().insert(id, Waiting { passing: Rc::new(passing), answer });
+        let waiting = Waiting { passing: Rc::new(passing), answer, ended: Rc::default() };
+        self.waiting.borrow_mut().insert(id, waiting);
         self.settle();
         Some((id, receiver))
     }
@@ -149,6 +152,7 @@
     fn end_wait(&self, id: FlowId) -> Option<Waiting> {
         let waiting = self.waiting.borrow_mut().remove(&id)?;
         self.ids.borrow_mut().remove(&waiting.passing.id);
+        waiting.ended.notify_waiters();
         Some(waiting)
     }
 
@@ -166,6 +170,11 @@
         self.settle();
     }
 
+    /// In a list that may be older than the one in hand: who leaves is not taken back into service by it.
+    pub(super) fn keep_leaving(&self, targets: &mut [Target]) {
+        self.host.borrow().keep_leaving(targets);
+    }
+
     /// Discovery failed.
     pub fn targets_failed(self: &Rc<Self>) {
         self.host.borrow_mut().targets_failed(self.now());
@@ -268,11 +277,11 @@
     fn carry_out(self: &Rc<Self>, order: Order) {
         match order {
             Order::Forward { id, target, address, patience } => {
-                let passing = self.waiting.borrow().get(&id.flow).map(|w| w.passing.clone());
+                let wait = self.waiting.borrow().get(&id.flow).map(|w| (w.passing.clone(), w.ended.clone()));
                 // Routing sends only for flows that it holds open, and those wait here.
-                let Some(passing) = passing else { return };
+                let Some(wait) = wait else { return };
                 let until = self.now() + patience;
-                let task = self.clone().forward(id, target, address, until, passing);
+                let task = self.clone().forward(id, target, address, until, wait);
                 self.forwards.borrow_mut().insert(id, tokio::task::spawn_local(task).into());
             }
             Order::GiveUp(id) => drop(self.forwards.borrow_mut().remove(&id)),
@@ -299,12 +308,12 @@
         target: ServerId,
         address: SocketAddr,
         until: f64,
-        passing: Rc<Passing>,
+        wait: (Rc<Passing>, Rc<Notify>),
     ) {
         // A target that does not come up must leave time for another.
         let within = ((until - self.now()) * CONNECT_SHARE).max(CONNECT_LEAST);
         let (end, load) = match self.line(target, address, within).await {
-            Ok(line) => self.exchange(id, target, until, &passing, line).await,
+            Ok(line) => self.exchange(id, target, until, &wait, line).await,
             Err(outcome) => (ForwardEnd::Lost(outcome), None),
         };
         self.host.borrow_mut().forward_ended(self.now(), id, end, load);
@@ -318,7 +327,7 @@
         id: ForwardId,
         target: ServerId,
         until: f64,
-        passing: &Passing,
+        (passing, ended): &(Rc<Passing>, Rc<Notify>),
         mut line: Line,
     ) -> (ForwardEnd, Option<Load>) {
         let now = self.now();
@@ -327,11 +336,23 @@
             self.keep(target, line);
             return (ForwardEnd::Lost(Outcome::NotSent), None);
         };
-        match line.connection.exchange_by(passing.to_target(until - now), whole_by - now).await {
+        // Neither behind its time nor once nobody waits for it may a request be written on.
+        let too_late = async {
+            tokio::select! {
+                biased;
+                () = ended.notified() => {}
+                () = at(whole_by - now) => {}
+            }
+        };
+        match line.connection.exchange_unless(passing.to_target(until - now), too_late).await {
             Exchange::Answered(status, headers, body) => {
                 self.keep(target, line);
                 (outcome::of_answer(status, &headers, body), load::of_headers(&headers))
             }
+            // Broken off as nobody waits: that tells nothing of the target.
+            Exchange::Broke { last_byte_written: false } if !self.waiting.borrow().contains_key(&id.flow) => {
+                (ForwardEnd::Lost(Outcome::NotSent), None)
+            }
             Exchange::Broke { last_byte_written } => (outcome::of_break(last_byte_written), None),
         }
     }
@@ -395,6 +416,14 @@
     }
 }
 
+/// Waits so many milliseconds; for ever where they have no end.
+async fn at(millis: f64) {
+    match millis.is_finite() {
+        true => tokio::time::sleep(length(millis)).await,
+        false => std::future::pending().await,
+    }
+}
+
 /// Opens a connection, within a time.
 pub async fn connect<N: Network>(network: &N, address: SocketAddr, within: f64) -> Option<Connection> {
     let open = async {
