Answer what is taken when the kill is near, on connections that waited for a place

Read: the end failed all open flows once, 150 ms before the kill, and looked on for another 120 ms (start.rs, end). A connection that had waited for a place gets one as the others are answered; its request was taken then and left open at the exit. All that is open is now failed every 20 ms up to the exit.

Test: what_comes_when_the_kill_is_near_is_answered, room for one client, a target that hangs; without the mend 'flows_taken 2 ...' with one open at the exit.

--- a/crates/roseproxy/src/start.rs
+++ b/crates/roseproxy/src/start.rs
@@ -107,10 +107,21 @@
         }
     };
     until(BEFORE_KILL.0).await;
-    // What is open now would be lost with the program: a failure is an answer too.
-    let unfinished = gateway.open_flows();
-    gateway.fail_all();
-    until(BEFORE_KILL.1).await;
+    // What is open from now on would be lost with the program, what comes only now too, on a connection that has waited
+    // for a place: a failure is an answer too.
+    let mut unfinished = 0;
+    let fails = async {
+        loop {
+            unfinished += gateway.open_flows();
+            gateway.fail_all();
+            sleep(LOOK).await;
+        }
+    };
+    tokio::select! {
+        biased;
+        () = until(BEFORE_KILL.1) => {}
+        () = fails => {}
+    }
     unfinished
 }
 
--- a/crates/roseproxy/tests/crossings.rs
+++ b/crates/roseproxy/tests/crossings.rs
@@ -456,6 +456,33 @@
     });
 }
 
+/// What gets its place only when the rest is being answered, as the kill is near, is answered too.
+#[test]
+fn what_comes_when_the_kill_is_near_is_answered() {
+    timeless(async {
+        let (_hangs, target) = port().await;
+        // Room for one client at a time.
+        let config = Config { sockets: 0, ..at_port(config(), &[target]).await };
+        let address = config.listen;
+        let (ended, ask) = program(Gated::default(), config);
+        turns().await;
+        let mut answers = Vec::new();
+        for id in ["1", "2"] {
+            let mut client = TcpStream::connect(address).await.expect("connects");
+            client.write_all(request("place-order", id, "a").as_bytes()).await.expect("written");
+            answers.push(spawn_local(async move { message(&mut client).await }));
+            turns().await;
+        }
+        ask.send(Asked::End).expect("it runs");
+        let counts = ended.await.expect("no panic").expect("ends in order");
+        assert!(counts.contains("flows_taken 2\n") && counts.contains("flows_open 0\n"), "{counts}");
+        for answer in answers {
+            let answer = answer.await.expect("no panic").expect("a whole answer");
+            assert!(answer.starts_with("HTTP/1.1 502"), "{answer}");
+        }
+    });
+}
+
 // ---- lists and watches
 
 fn pushed() -> Config {
