Test that an answer without a length is not ended by a reset

Ruled out by a test: an answer that ends with its connection is served after an orderly end, and failed after a reset. It fails where an error of the stream is taken for its end (Shared::poll_read with errors as ends: the order got 200 and 'priced').

--- a/crates/roseproxy/tests/crossings.rs
+++ b/crates/roseproxy/tests/crossings.rs
@@ -799,6 +799,31 @@
     });
 }
 
+/// An answer without a length ends with its connection: by an orderly end it is whole, by a reset it is not.
+#[test]
+fn an_answer_without_a_length_is_not_ended_by_a_reset() {
+    for by_reset in [false, true] {
+        scene(async {
+            let (socket, target) = port().await;
+            let sidecar = sidecar(&[target], 8).await;
+            let mut client = TcpStream::connect(sidecar.address).await.expect("connects");
+            client.write_all(request("place-order", "1", "a").as_bytes()).await.expect("written");
+            let (mut stream, _) = socket.accept().await.expect("the sidecar connects");
+            message(&mut stream).await.expect("a request");
+            stream.write_all(b"HTTP/1.1 200 OK\r\n\r\npriced").await.expect("written");
+            // What has come is read before the end comes.
+            turns().await;
+            match by_reset {
+                true => reset(stream),
+                false => drop(stream),
+            }
+            let answer = message(&mut client).await.expect("a whole answer");
+            let end = if by_reset { "HTTP/1.1 502" } else { "HTTP/1.1 200" };
+            assert!(answer.starts_with(end) && answer.ends_with("priced") != by_reset, "{answer}");
+        });
+    }
+}
+
 /// An order whose connection never comes up in its time was never written: it is refused, and not failed.
 #[test]
 fn an_order_whose_connection_never_came_up_may_be_refused() {
