--- a/crates/roseproxy/tests/crossings.rs
+++ b/crates/roseproxy/tests/crossings.rs
@@ -644,27 +644,38 @@
 
 // ---- retries and writes
 
+/// A request of keyed work that one of two targets has got whole and not answered: the sidecar, the client, the connection
+/// to that target, and the other target.
+async fn keyed(
+    network: &Gated,
+    clock: &Clock,
+    attempts: u32,
+) -> (Sidecar<Gated>, TcpStream, TcpStream, TcpListener) {
+    let ((first, one), (second, two)) = (port().await, port().await);
+    let config = config_with(|s| {
+        s["limits"]["connect_timeout"] = json!(60_000_000);
+        s["limits"]["max_attempts"] = json!(attempts);
+        s["request_classes"][2]["give_up"] = json!(20_000_000);
+    });
+    let sidecar = sidecar_on(network.clone(), config, clock.clone(), &[one, two], 8, 20).await;
+    let mut client = TcpStream::connect(sidecar.address).await.expect("connects");
+    let key = "Idempotency-Key: 5c0f\r\nContent-Length";
+    let text = request("stock-update", "1", "sold=1").replace("Content-Length", key);
+    client.write_all(text.as_bytes()).await.expect("written");
+    let (mut stream, other) = tokio::select! {
+        came = first.accept() => (came.expect("the sidecar connects").0, second),
+        came = second.accept() => (came.expect("the sidecar connects").0, first),
+    };
+    message(&mut stream).await.expect("a request");
+    (sidecar, client, stream, other)
+}
+
 /// A repeat is decided inside its key's window, and its connection comes up past it.
 #[test]
 fn a_repeat_whose_connection_comes_up_past_the_window_is_not_written() {
     scene(async {
-        let ((first, one), (second, two)) = (port().await, port().await);
-        let network = Gated::default();
-        let config = config_with(|s| {
-            s["limits"]["connect_timeout"] = json!(60_000_000);
-            s["request_classes"][2]["give_up"] = json!(20_000_000);
-        });
-        let clock = Clock::manual(1_000_000.0);
-        let sidecar = sidecar_on(network.clone(), config, clock.clone(), &[one, two], 8, 20).await;
-        let mut client = TcpStream::connect(sidecar.address).await.expect("connects");
-        let key = "Idempotency-Key: 5c0f\r\nContent-Length";
-        let text = request("stock-update", "1", "sold=1").replace("Content-Length", key);
-        client.write_all(text.as_bytes()).await.expect("written");
-        let (mut stream, other) = tokio::select! {
-            came = first.accept() => (came.expect("the sidecar connects").0, second),
-            came = second.accept() => (came.expect("the sidecar connects").0, first),
-        };
-        message(&mut stream).await.expect("a request");
+        let (network, clock) = (Gated::default(), Clock::manual(1_000_000.0));
+        let (sidecar, mut client, stream, other) = keyed(&network, &clock, 3).await;
         network.connects.shut();
         // It may have run: the repeat is out at once, and waits for its connection.
         drop(stream);
@@ -688,24 +699,8 @@
 #[test]
 fn a_repeat_that_is_not_whole_within_the_window_is_broken_off() {
     timeless(async {
-        let ((first, one), (second, two)) = (port().await, port().await);
         let network = Gated::default();
-        let config = config_with(|s| {
-            s["limits"]["connect_timeout"] = json!(60_000_000);
-            s["limits"]["max_attempts"] = json!(2);
-            s["request_classes"][2]["give_up"] = json!(20_000_000);
-        });
-        let clock = Clock::manual(1_000_000.0);
-        let sidecar = sidecar_on(network.clone(), config, clock, &[one, two], 8, 20).await;
-        let mut client = TcpStream::connect(sidecar.address).await.expect("connects");
-        let key = "Idempotency-Key: 5c0f\r\nContent-Length";
-        let text = request("stock-update", "1", "sold=1").replace("Content-Length", key);
-        client.write_all(text.as_bytes()).await.expect("written");
-        let (mut stream, other) = tokio::select! {
-            came = first.accept() => (came.expect("the sidecar connects").0, second),
-            came = second.accept() => (came.expect("the sidecar connects").0, first),
-        };
-        message(&mut stream).await.expect("a request");
+        let (_sidecar, mut client, stream, other) = keyed(&network, &Clock::manual(1_000_000.0), 2).await;
         network.sends.shut();
         drop(stream);
         let (mut copy, _) = other.accept().await.expect("the sidecar connects");
