--- a/crates/roseproxy/tests/signals.rs
+++ b/crates/roseproxy/tests/signals.rs
@@ -21,8 +21,9 @@
 }
 
 fn signal(name: &str, program: &Child) {
-    let sent = Command::new("kill").args([name, &program.id().to_string()]).status();
-    assert!(sent.expect("kill runs").success(), "{name}: the program has ended");
+    // The shell's own, which is there wherever a shell is.
+    let sent = Command::new("sh").args(["-c", &format!("kill {name} {}", program.id())]).status();
+    assert!(sent.expect("a shell").success(), "{name}: the program has ended");
 }
 
 #[test]
