Let the first reading end before the test's second writing: it failed once in five

Seen: 'signals_that_come_early_twice_and_late_are_heeded' failed once in five runs, as the second writer could meet the first reader, whose text was then no JSON.

--- a/crates/roseproxy/tests/signals.rs
+++ b/crates/roseproxy/tests/signals.rs
@@ -44,6 +44,8 @@
     signal("-HUP", &program);
     first.write_all(file.to_string().as_bytes()).expect("the program lives");
     drop(first);
+    // Else the second writing could still meet the first reading.
+    assert!(lines.by_ref().any(|line| line.contains("listens at")), "the program lives");
     // In the reload, twice: what it reads changes nothing, and then it ends in order, once.
     let mut again = reading(&pipe);
     signal("-TERM", &program);
