--- a/crates/roseproxy/tests/signals.rs
+++ b/crates/roseproxy/tests/signals.rs
@@ -7,7 +7,7 @@
 use serde_json::json;
 use std::fs::{File, OpenOptions};
 use std::io::{BufRead, BufReader, Write};
-use std::path::Path;
+use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::mpsc;
 use std::time::Duration;
@@ -26,23 +26,48 @@
     assert!(sent.expect("a shell").success(), "{name}: the program has ended");
 }
 
-#[test]
-fn signals_that_come_early_twice_and_late_are_heeded() {
-    let pipe = std::env::temp_dir().join(format!("roseproxy-signals-{}", std::process::id()));
+/// The program, whose configuration is this pipe, and the lines that it says.
+fn start(name: &str) -> (PathBuf, Child, impl Iterator<Item = String>) {
+    let pipe = std::env::temp_dir().join(format!("roseproxy-{name}-{}", std::process::id()));
     assert!(Command::new("mkfifo").arg(&pipe).status().expect("mkfifo runs").success());
-    let mut file = config().file;
-    file["listen"] = json!("127.0.0.1:0");
     let mut program = Command::new(env!("CARGO_BIN_EXE_roseproxy"))
         .env("LB_CONFIG", &pipe)
         .stderr(Stdio::piped())
         .spawn()
         .expect("the program starts");
-    let mut lines = BufReader::new(program.stderr.take().expect("piped")).lines().map_while(Result::ok);
+    let lines = BufReader::new(program.stderr.take().expect("piped")).lines().map_while(Result::ok);
+    (pipe, program, lines)
+}
+
+/// A good configuration, at any port.
+fn good() -> Vec<u8> {
+    let mut file = config().file;
+    file["listen"] = json!("127.0.0.1:0");
+    file.to_string().into_bytes()
+}
+
+/// It starts, serves as long as clients may still come, and ends in order.
+#[test]
+fn an_end_asked_for_before_the_listener_is_up_is_heeded() {
+    let (pipe, mut program, lines) = start("end");
+    let mut first = reading(&pipe);
+    signal("-TERM", &program);
+    first.write_all(&good()).expect("the program lives");
+    drop(first);
+    let said: Vec<String> = lines.collect();
+    assert!(program.wait().expect("it ends").success(), "{said:?}");
+    std::fs::remove_file(&pipe).expect("the pipe is there");
+    assert!(said.iter().any(|line| line.contains("ends after")), "{said:?}");
+}
+
+#[test]
+fn signals_that_come_early_twice_and_late_are_heeded() {
+    let (pipe, mut program, mut lines) = start("signals");
 
     // Before it has read anything: it reads again as soon as it serves.
     let mut first = reading(&pipe);
     signal("-HUP", &program);
-    first.write_all(file.to_string().as_bytes()).expect("the program lives");
+    first.write_all(&good()).expect("the program lives");
     drop(first);
     // Else the second writing could still meet the first reading.
     assert!(lines.by_ref().any(|line| line.contains("listens at")), "the program lives");
