--- a/crates/roseproxy/tests/common/mod.rs
+++ b/crates/roseproxy/tests/common/mod.rs
@@ -7,6 +7,7 @@
 use roseproxy_platform::request::Classes;
 use roseproxy_routing::Host;
 use roseproxy_transport::budget::Budget;
+use roseproxy_transport::discovery::Watcher;
 use roseproxy_transport::listener::Listener;
 use roseproxy_transport::network::{Network, Tcp};
 use roseproxy_transport::pool::REST;
@@ -18,6 +19,7 @@
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
 use tokio::task::spawn_local;
 
 pub const OK: &str = "HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\npriced";
@@ -31,6 +33,12 @@
     tokio::task::LocalSet::new().block_on(&runtime, scene)
 }
 
+/// A scene in which time stands until all wait.
+pub fn timeless<T>(scene: impl Future<Output = T>) -> T {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().start_paused(true).build();
+    tokio::task::LocalSet::new().block_on(&runtime.expect("a runtime"), scene)
+}
+
 pub fn config() -> Config {
     config_with(|_| {})
 }
@@ -112,6 +120,11 @@
     Sidecar { gateway, listener, address }
 }
 
+/// Has a sidecar, which knows the list of this version, watch discovery at this address.
+pub fn watching<N: Network>(sidecar: &Sidecar<N>, address: SocketAddr, known: Option<u64>) {
+    spawn_local(Watcher::new(sidecar.gateway.clone(), watch::channel(address).1, known).run());
+}
+
 pub async fn port() -> (TcpListener, SocketAddr) {
     let socket = TcpListener::bind("127.0.0.1:0").await.expect("a port");
     let address = socket.local_addr().expect("bound");
--- a/crates/roseproxy/tests/crossings.rs
+++ b/crates/roseproxy/tests/crossings.rs
@@ -10,12 +10,10 @@
 use roseproxy_decision::interface::{Action, Event, Micros};
 use roseproxy_routing::decide::Decider;
 use roseproxy_routing::Host;
-use roseproxy_transport::discovery::Watcher;
 use roseproxy_transport::listener::Phase;
 use roseproxy_transport::network::{Network, Quiet, Tcp};
 use serde_json::json;
 use std::cell::{Cell, RefCell};
-use std::future::Future;
 use std::io::{self, ErrorKind};
 use std::net::SocketAddr;
 use std::pin::Pin;
@@ -25,7 +23,6 @@
 use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt, ReadBuf};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc::unbounded_channel;
-use tokio::sync::watch;
 use tokio::task::spawn_local;
 
 const READY: &str = "GET /health/ready HTTP/1.1\r\nHost: a\r\n\r\n";
@@ -126,17 +123,27 @@
     }
 }
 
-/// A scene in which time stands until all wait.
-fn timeless<T>(scene: impl Future<Output = T>) -> T {
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().start_paused(true).build();
-    tokio::task::LocalSet::new().block_on(&runtime.expect("a runtime"), scene)
-}
-
 fn reset(client: TcpStream) {
     // A linger of 0 makes the close a reset.
     socket2::SockRef::from(&client).set_linger(Some(Duration::ZERO)).expect("set");
 }
 
+/// A client that has connected and asked.
+async fn asks(address: SocketAddr, text: &str) -> TcpStream {
+    let mut client = TcpStream::connect(address).await.expect("connects");
+    client.write_all(text.as_bytes()).await.expect("written");
+    client
+}
+
+/// Has another client ask, with the id `stays`; returns the first request that the target hears of.
+async fn first_heard<N: Network>(sidecar: &Sidecar<N>, target: TcpListener, class: &str) -> String {
+    let served = spawn_local(serve(target, 1));
+    let mut other = TcpStream::connect(sidecar.address).await.expect("connects");
+    let body = if class == "quote" { "" } else { "b" };
+    ask(&mut other, &request(class, "stays", body)).await;
+    served.await.expect("no panic").remove(0)
+}
+
 // ---- the client leaves
 
 /// What a client leaves behind that has gone while its request waited for a connection: nothing is written for it,
@@ -156,9 +163,8 @@
                     });
                     let sidecar =
                         sidecar_on(network.clone(), config, Clock::system(), &[target], 8, 20).await;
-                    let mut client = TcpStream::connect(sidecar.address).await.expect("connects");
                     let text = request("place-order", "left", "a") + behind;
-                    client.write_all(text.as_bytes()).await.expect("written");
+                    let client = asks(sidecar.address, &text).await;
                     until("the forward waits", || of(&sidecar.gateway, "forwards_open") == 1).await;
                     match by_reset {
                         true => reset(client),
@@ -166,10 +172,7 @@
                     }
                     until("the client is missed", || sidecar.gateway.open_flows() == 0).await;
                     network.connects.open();
-                    let served = spawn_local(serve(socket, 1));
-                    let mut other = TcpStream::connect(sidecar.address).await.expect("connects");
-                    ask(&mut other, &request("place-order", "stays", "b")).await;
-                    let first = &served.await.expect("no panic")[0];
+                    let first = first_heard(&sidecar, socket, "place-order").await;
                     assert!(first.contains("request-id: stays"), "{cancel} {behind} {by_reset}: {first}");
                     assert_eq!(of(&sidecar.gateway, "forwards_sent"), 2);
                 });
@@ -188,8 +191,7 @@
         network.sends.shut();
         let config = config_with(|s| s["limits"]["cancel"] = json!(false));
         let sidecar = sidecar_on(network.clone(), config, Clock::system(), &[target], 8, 20).await;
-        let mut client = TcpStream::connect(sidecar.address).await.expect("connects");
-        client.write_all(request("place-order", "left", "a").as_bytes()).await.expect("written");
+        let client = asks(sidecar.address, &request("place-order", "left", "a")).await;
         let (mut stream, _) = socket.accept().await.expect("the sidecar connects");
         until("it is to be written", || of(&sidecar.gateway, "targets_connected") == 1).await;
         turns().await;
@@ -212,17 +214,13 @@
         network.reads.shut();
         let config = config_with(|s| s["limits"]["cancel"] = json!(false));
         let sidecar = sidecar_on(network.clone(), config, Clock::system(), &[target], 8, 20).await;
-        let mut client = TcpStream::connect(sidecar.address).await.expect("connects");
-        client.write_all(request("place-order", "left", "a").as_bytes()).await.expect("written");
+        let client = asks(sidecar.address, &request("place-order", "left", "a")).await;
         drop(client);
         until("it is accepted", || of(&sidecar.gateway, "clients_accepted") == 1).await;
         network.reads.open();
         until("it is missed", || sidecar.listener.quiet_for(0.0) && sidecar.gateway.open_flows() == 0).await;
         network.connects.open();
-        let served = spawn_local(serve(socket, 1));
-        let mut other = TcpStream::connect(sidecar.address).await.expect("connects");
-        ask(&mut other, &request("place-order", "stays", "b")).await;
-        assert!(served.await.expect("no panic")[0].contains("request-id: stays"));
+        assert!(first_heard(&sidecar, socket, "place-order").await.contains("request-id: stays"));
     });
 }
 
@@ -232,19 +230,15 @@
     scene(async {
         let (socket, target) = port().await;
         let sidecar = sidecar(&[], 8).await;
-        let mut client = TcpStream::connect(sidecar.address).await.expect("connects");
         let text = request("quote", "left", "") + &"x".repeat(100_000);
-        client.write_all(text.as_bytes()).await.expect("written");
+        let client = asks(sidecar.address, &text).await;
         until("it is held", || sidecar.gateway.open_flows() == 1).await;
         drop(client);
         until("the client is missed", || sidecar.gateway.open_flows() == 0).await;
         let group = list(2, true, &[(target, "in_service")]);
         let group = roseproxy_platform::discovery::read(group.as_bytes()).expect("a list");
         sidecar.gateway.targets(group.update, &group.targets);
-        let served = spawn_local(serve(socket, 1));
-        let mut other = TcpStream::connect(sidecar.address).await.expect("connects");
-        ask(&mut other, &request("quote", "stays", "")).await;
-        assert!(served.await.expect("no panic")[0].contains("request-id: stays"));
+        assert!(first_heard(&sidecar, socket, "quote").await.contains("request-id: stays"));
     });
 }
 
@@ -334,8 +328,7 @@
             "nonsense\r\n\r\n",
         ];
         for head in heads {
-            let mut client = TcpStream::connect(sidecar.address).await.expect("connects");
-            client.write_all(head.as_bytes()).await.expect("written");
+            let mut client = asks(sidecar.address, head).await;
             // The answer is there, unread, while more comes.
             client.readable().await.expect("open");
             turns().await;
@@ -358,8 +351,7 @@
         let network = Gated::default();
         network.answers.shut();
         let sidecar = sidecar_on(network.clone(), config(), Clock::system(), &[target], 8, 20).await;
-        let mut client = TcpStream::connect(sidecar.address).await.expect("connects");
-        client.write_all(request("place-order", "1", "a").as_bytes()).await.expect("written");
+        let mut client = asks(sidecar.address, &request("place-order", "1", "a")).await;
         until("it is answered", || of(&sidecar.gateway, "flows_served") == 1).await;
         sidecar.listener.enter(Phase::Closing);
         tokio::time::sleep(Duration::from_millis(1_000)).await;
@@ -408,8 +400,7 @@
             let address = config.listen;
             let (ended, ask) = program(Gated::default(), config);
             turns().await;
-            let mut client = TcpStream::connect(address).await.expect("connects");
-            client.write_all(request("place-order", "1", "a").as_bytes()).await.expect("written");
+            let mut client = asks(address, &request("place-order", "1", "a")).await;
             let asked = tokio::time::Instant::now();
             ask.send(Asked::End).expect("it runs");
             let answer = spawn_local(async move { message(&mut client).await });
@@ -430,12 +421,10 @@
         let (socket, target) = port().await;
         // A clock that stands, so that the first connection to the target never has its rest.
         let sidecar = sidecar_on(Tcp, config(), Clock::manual(1_000_000.0), &[target], 1, 20).await;
-        let mut client = TcpStream::connect(sidecar.address).await.expect("connects");
-        client.write_all(request("quote", "1", "").as_bytes()).await.expect("written");
+        let mut client = asks(sidecar.address, &request("quote", "1", "")).await;
         let (mut stream, _) = socket.accept().await.expect("the sidecar connects");
         message(&mut stream).await.expect("a request");
-        let mut waits = TcpStream::connect(sidecar.address).await.expect("connects");
-        waits.write_all(request("quote", "2", "").as_bytes()).await.expect("written");
+        let mut waits = asks(sidecar.address, &request("quote", "2", "")).await;
         sidecar.listener.enter(Phase::Closing);
         let done = Rc::new(Cell::new(false));
         let (seen, listener) = (done.clone(), sidecar.listener.clone());
@@ -468,8 +457,7 @@
         turns().await;
         let mut answers = Vec::new();
         for id in ["1", "2"] {
-            let mut client = TcpStream::connect(address).await.expect("connects");
-            client.write_all(request("place-order", id, "a").as_bytes()).await.expect("written");
+            let mut client = asks(address, &request("place-order", id, "a")).await;
             answers.push(spawn_local(async move { message(&mut client).await }));
             turns().await;
         }
@@ -495,7 +483,7 @@
     scene(async {
         let (socket, address) = port().await;
         let sidecar = sidecar_on(Tcp, pushed(), Clock::system(), &[], 8, 20).await;
-        spawn_local(Watcher::new(sidecar.gateway.clone(), watch::channel(address).1, Some(41)).run());
+        watching(&sidecar, address, Some(41));
         for _ in 0..3 {
             let (mut stream, _) = socket.accept().await.expect("the sidecar connects");
             let watch = message(&mut stream).await.expect("a request");
@@ -525,7 +513,7 @@
     scene(async {
         let (socket, address) = port().await;
         let sidecar = sidecar_on(Tcp, pushed(), Clock::system(), &[], 8, 20).await;
-        spawn_local(Watcher::new(sidecar.gateway.clone(), watch::channel(address).1, Some(1)).run());
+        watching(&sidecar, address, Some(1));
         let mut stream = open_watch(&socket).await;
         let change: serde_json::Value =
             serde_json::from_str(&list(2, false, &[(address, "in_service")])).expect("JSON");
@@ -543,7 +531,7 @@
         timeless(async {
             let (socket, address) = port().await;
             let sidecar = sidecar_on(Tcp, pushed(), Clock::system(), &[], 8, 20).await;
-            spawn_local(Watcher::new(sidecar.gateway.clone(), watch::channel(address).1, Some(1)).run());
+            watching(&sidecar, address, Some(1));
             let mut stream = open_watch(&socket).await;
             chunk(&mut stream, "\n").await.expect("read");
             let began = tokio::time::Instant::now();
@@ -567,7 +555,7 @@
     scene(async {
         let (socket, address) = port().await;
         let sidecar = sidecar_on(Tcp, pushed(), Clock::system(), &[], 8, 20).await;
-        spawn_local(Watcher::new(sidecar.gateway.clone(), watch::channel(address).1, None).run());
+        watching(&sidecar, address, None);
         let (mut stream, _) = socket.accept().await.expect("the sidecar connects");
         message(&mut stream).await.expect("a request");
         let group: Vec<_> =
@@ -588,7 +576,7 @@
     scene(async {
         let ((socket, address), (_, target)) = (port().await, port().await);
         let sidecar = sidecar_on(Tcp, pushed(), Clock::system(), &[target], 8, 20).await;
-        spawn_local(Watcher::new(sidecar.gateway.clone(), watch::channel(address).1, Some(7)).run());
+        watching(&sidecar, address, Some(7));
         let mut stream = open_watch(&socket).await;
         let lists = [
             (8, false, "terminating", false),
@@ -626,12 +614,10 @@
         let ((socket, address), config) = (port().await, config());
         let host = Host::with(config.settings.clone(), Box::new(Wishes));
         let sidecar = sidecar_of(Tcp, host, config, Clock::system(), &[], 8, 20).await;
-        spawn_local(Watcher::new(sidecar.gateway.clone(), watch::channel(address).1, Some(1)).run());
-        let mut client = TcpStream::connect(sidecar.address).await.expect("connects");
-        client.write_all(request("quote", "1", "").as_bytes()).await.expect("written");
+        watching(&sidecar, address, Some(1));
+        let _client = asks(sidecar.address, &request("quote", "1", "")).await;
         let stream = open_watch(&socket).await;
-        let mut client = TcpStream::connect(sidecar.address).await.expect("connects");
-        client.write_all(request("quote", "2", "").as_bytes()).await.expect("written");
+        let _other = asks(sidecar.address, &request("quote", "2", "")).await;
         until("both are taken", || sidecar.gateway.open_flows() == 2).await;
         drop(stream);
         until("the failure is known", || of(&sidecar.gateway, "discovery_failures") == 1).await;
@@ -720,9 +706,8 @@
         let ((socket, address), config) = (port().await, config());
         let host = Host::with(config.settings.clone(), Box::new(Wishes));
         let sidecar = sidecar_of(Tcp, host, config, Clock::system(), &[], 8, 20).await;
-        spawn_local(Watcher::new(sidecar.gateway.clone(), watch::channel(address).1, Some(1)).run());
-        let mut client = TcpStream::connect(sidecar.address).await.expect("connects");
-        client.write_all(request("quote", "1", "").as_bytes()).await.expect("written");
+        watching(&sidecar, address, Some(1));
+        let _client = asks(sidecar.address, &request("quote", "1", "")).await;
         let mut stream = open_watch(&socket).await;
         chunk(&mut stream, "\n").await.expect("read");
         let began = tokio::time::Instant::now();
@@ -762,8 +747,7 @@
         let (socket, target) = port().await;
         let clock = Clock::manual(1_000_000.0);
         let sidecar = sidecar_on(Tcp, config(), clock.clone(), &[target], 8, 20).await;
-        let mut client = TcpStream::connect(sidecar.address).await.expect("connects");
-        client.write_all(request("quote", "1", "").as_bytes()).await.expect("written");
+        let mut client = asks(sidecar.address, &request("quote", "1", "")).await;
         let (mut first, _) = socket.accept().await.expect("the sidecar connects");
         message(&mut first).await.expect("a request");
         first.write_all(OK.as_bytes()).await.expect("written");
@@ -801,8 +785,7 @@
         scene(async {
             let (socket, target) = port().await;
             let sidecar = sidecar(&[target], 8).await;
-            let mut client = TcpStream::connect(sidecar.address).await.expect("connects");
-            client.write_all(request("place-order", "1", "a").as_bytes()).await.expect("written");
+            let mut client = asks(sidecar.address, &request("place-order", "1", "a")).await;
             let (mut stream, _) = socket.accept().await.expect("the sidecar connects");
             message(&mut stream).await.expect("a request");
             stream.write_all(b"HTTP/1.1 200 OK\r\n\r\npriced").await.expect("written");
--- a/crates/roseproxy/tests/sockets.rs
+++ b/crates/roseproxy/tests/sockets.rs
@@ -14,7 +14,6 @@
 use std::net::SocketAddr;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
-use tokio::sync::watch;
 use tokio::task::spawn_local;
 
 #[test]
@@ -281,7 +280,7 @@
         let (socket, address) = port().await;
         let sidecar = sidecar(&[], 8).await;
         assert!(!sidecar.gateway.can_serve());
-        spawn_local(Watcher::new(sidecar.gateway.clone(), watch::channel(address).1, None).run());
+        watching(&sidecar, address, None);
         let target: SocketAddr = "127.0.0.1:9".parse().expect("an address");
         let (mut stream, _) = socket.accept().await.expect("the sidecar connects");
         let fetch = message(&mut stream).await.expect("a request");
@@ -318,7 +317,7 @@
     scene(async {
         let (socket, address) = port().await;
         let sidecar = sidecar(&[], 8).await;
-        spawn_local(Watcher::new(sidecar.gateway.clone(), watch::channel(address).1, Some(41)).run());
+        watching(&sidecar, address, Some(41));
         let (mut stream, _) = socket.accept().await.expect("the sidecar connects");
         let watch = message(&mut stream).await.expect("a request");
         assert!(watch.starts_with("GET /registry/instances?stream=1&index=41 HTTP/1.1\r\n"), "{watch}");
@@ -377,11 +376,10 @@
 /// A watch that stays open and says nothing, not even an empty line, is dead. Time is the test's.
 #[test]
 fn a_silent_watch_is_given_up() {
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().start_paused(true).build();
-    tokio::task::LocalSet::new().block_on(&runtime.expect("a runtime"), async {
+    timeless(async {
         let (socket, address) = port().await;
         let sidecar = sidecar(&[], 8).await;
-        spawn_local(Watcher::new(sidecar.gateway.clone(), watch::channel(address).1, None).run());
+        watching(&sidecar, address, None);
         // Connections and requests may cross the paused clock's jumps, so any number of tries is fine;
         // the silent one must end by itself.
         loop {
@@ -407,8 +405,7 @@
 /// Time is the test's; the sidecar's clock follows it.
 #[test]
 fn half_a_request_or_none_does_not_hold_a_connection() {
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().start_paused(true).build();
-    tokio::task::LocalSet::new().block_on(&runtime.expect("a runtime"), async {
+    timeless(async {
         let sidecar = sidecar(&["127.0.0.1:9".parse().expect("an address")], 20).await;
         let head = "POST /place-order HTTP/1.1\r\nRequest-Id: 1\r\nContent-Length: 5\r\n\r\n";
         let ready = "GET /health/ready HTTP/1.1\r\nHost: a\r\n\r\n";
@@ -435,8 +432,7 @@
 
 #[test]
 fn clients_that_never_ask_again_make_room_where_places_run_short() {
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().start_paused(true).build();
-    tokio::task::LocalSet::new().block_on(&runtime.expect("a runtime"), async {
+    timeless(async {
         let sidecar = sidecar(&["127.0.0.1:9".parse().expect("an address")], 3).await;
         let ready = "GET /health/ready HTTP/1.1\r\nHost: a\r\n\r\n";
         let began = tokio::time::Instant::now();
@@ -455,8 +451,7 @@
 /// hyper's time for a head runs between requests too: at 10 s it closed connections that clients keep.
 #[test]
 fn a_quiet_client_keeps_its_connection() {
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().start_paused(true).build();
-    tokio::task::LocalSet::new().block_on(&runtime.expect("a runtime"), async {
+    timeless(async {
         let sidecar = sidecar(&["127.0.0.1:9".parse().expect("an address")], 2).await;
         let ready = "GET /health/ready HTTP/1.1\r\nHost: a\r\n\r\n";
         let mut client = TcpStream::connect(sidecar.address).await.expect("connects");
--- a/crates/routing/src/relay.rs
+++ b/crates/routing/src/relay.rs
@@ -35,13 +35,18 @@
         true
     }
 
+    /// Fails a flow where the module has not answered it, and tells it.
+    fn fail(&mut self, now: f64, id: FlowId) {
+        self.answer(now, id, Answer::Failed);
+        self.tell(now, Event::Expired { request: id });
+    }
+
     /// Answers every flow that is open as failed: the program is about to end.
     pub fn fail_all(&mut self, now: f64) {
         let mut open: Vec<FlowId> = self.flows.keys().copied().collect();
         open.sort_unstable(); // nothing may depend on the order of a hash table
         for id in open {
-            self.answer(now, id, Answer::Failed);
-            self.tell(now, Event::Expired { request: id });
+            self.fail(now, id);
         }
     }
 
@@ -55,8 +60,7 @@
     pub(super) fn flow_overdue(&mut self, now: f64, id: FlowId) {
         if self.flows.contains_key(&id) {
             self.book.overdue += 1;
-            self.answer(now, id, Answer::Failed);
-            self.tell(now, Event::Expired { request: id });
+            self.fail(now, id);
         }
     }
 }
