Guard all sends and repeats in one place, check the invariants at run time, log events

Cause: what may be sent was decided in send.rs (attempts, time, drains), rules.rs (repeats, windows) and admit.rs, and nothing looked at the instant at which a byte went out.

Refusals, closes and withheld attempts are counted by reason.

--- a/crates/lab/src/in_process.rs
+++ b/crates/lab/src/in_process.rs
@@ -77,7 +77,7 @@
         let (asked, asking) = unbounded_channel();
         let file = Rc::new(RefCell::new(config.clone()));
         let say: Rc<dyn Fn(&str)> = Rc::new(move |line| tracing::debug!(sidecar = number, "{line}"));
-        let around = Surroundings { network, clock, say, decider };
+        let around = Surroundings { network, clock, say, decider, print_events: false };
         let read = {
             let file = file.clone();
             move || Config::read(&file.borrow().to_string(), |_| None)
--- a/crates/roseproxy/src/main.rs
+++ b/crates/roseproxy/src/main.rs
@@ -18,7 +18,8 @@
         let signals = Signals::catch().map_err(|e| format!("signals: {e}"))?;
         let config = read().map_err(|e| format!("configuration: {e}"))?;
         let say: Rc<dyn Fn(&str)> = Rc::new(|line| eprintln!("roseproxy: {line}"));
-        let around = Surroundings { network: Tcp, clock: Clock::system(), say, decider: None };
+        let print_events = std::env::var_os("LB_EVENT_LOG").is_some();
+        let around = Surroundings { network: Tcp, clock: Clock::system(), say, decider: None, print_events };
         let counts = serve(config, around, signals, read).await?;
         eprint!("{counts}");
         Ok(())
--- a/crates/roseproxy/src/start.rs
+++ b/crates/roseproxy/src/start.rs
@@ -25,6 +25,8 @@
     pub say: Rc<dyn Fn(&str)>,
     /// Who decides; `None` for the decision module.
     pub decider: Option<Box<dyn Decider>>,
+    /// Whether each event is printed as it happens.
+    pub print_events: bool,
 }
 
 /// Runs the sidecar until it is asked to end; `read` reads the configuration anew. Returns the counters
@@ -35,7 +37,7 @@
     mut asking: impl Asking,
     read: impl Fn() -> Result<Config, String>,
 ) -> Result<String, String> {
-    let Surroundings { network, clock, say, decider } = around;
+    let Surroundings { network, clock, say, decider, print_events } = around;
     let socket = network.listen(config.listen).await;
     let socket = socket.map_err(|e| format!("listen: {}: {e}", config.listen))?;
     let kill_after = shutdown::kill_after(&config.settings);
@@ -46,6 +48,10 @@
     };
     let (clients, targets) = Budget::share(config.sockets);
     let gateway = Gateway::new(network, host, classes, targets, clock.reader());
+    if print_events {
+        let say = say.clone();
+        gateway.print_events(Rc::new(move |line| say(line)));
+    }
     // The list as it was known last serves until discovery says more. Without one, the empty list
     // still sets the module asking.
     let known = config.known.as_ref();
@@ -68,6 +74,7 @@
     let asked = clock.now();
     say(&format!("told to end, {} flows open", gateway.open_flows()));
     let unfinished = shutdown::drain(&clock, &listener, &gateway, kill_after).await;
+    gateway.exiting();
     say(&format!("ends after {:.0} ms, {unfinished} flows failed for want of time", clock.now() - asked));
     Ok(counts())
 }
--- a/crates/roseproxy/tests/crossings.rs
+++ b/crates/roseproxy/tests/crossings.rs
@@ -252,7 +252,13 @@
     config: Config,
 ) -> (tokio::task::JoinHandle<Result<String, String>>, tokio::sync::mpsc::UnboundedSender<Asked>) {
     let (ask, asked) = unbounded_channel();
-    let around = Surroundings { network, clock: Clock::system(), say: Rc::new(|_| {}), decider: None };
+    let around = Surroundings {
+        network,
+        clock: Clock::system(),
+        say: Rc::new(|_| {}),
+        decider: None,
+        print_events: false,
+    };
     (spawn_local(run(config, around, asked, || Err("no reload".into()))), ask)
 }
 
--- a/crates/roseproxy/tests/descriptors.rs
+++ b/crates/roseproxy/tests/descriptors.rs
@@ -132,7 +132,13 @@
         };
         let descriptors = network.clone();
         let (ending, asked) = unbounded_channel();
-        let around = Surroundings { network, clock: Clock::system(), say: Rc::new(|_| {}), decider: None };
+        let around = Surroundings {
+            network,
+            clock: Clock::system(),
+            say: Rc::new(|_| {}),
+            decider: None,
+            print_events: false,
+        };
         spawn_local(serve(config, around, asked, || Err("no reload".into())));
         sleep(Duration::from_secs(20)).await;
         assert_eq!(registry.open_watches(), 1, "not watched at first");
--- a/crates/roseproxy/tests/restarts.rs
+++ b/crates/roseproxy/tests/restarts.rs
@@ -52,8 +52,13 @@
             let (ending, asked) = unbounded_channel();
             endings.push(ending);
             let network = Loopback(registry.clone());
-            let around =
-                Surroundings { network, clock: Clock::system(), say: Rc::new(|_| {}), decider: None };
+            let around = Surroundings {
+                network,
+                clock: Clock::system(),
+                say: Rc::new(|_| {}),
+                decider: None,
+                print_events: false,
+            };
             spawn_local(serve(config, around, asked, || Err("no reload".into())));
         }
         sleep(MOST).await;
--- a/crates/routing/src/admit.rs
+++ b/crates/routing/src/admit.rs
@@ -1,6 +1,7 @@
 //! Stage 2: what never reaches the module gets its fixed response at once.
 
-use super::flow::{Answer, FlowId};
+use super::event_log::RefusalReason;
+use super::flow::FlowId;
 use super::Host;
 
 impl Host {
@@ -10,11 +11,13 @@
         // Against memory without bound where clients open flows faster than they are answered; and
         // against work for a client that has no time left to hear of it.
         let room = self.flows.len() <= self.settings.network.max_open;
-        let admitted = room && time_left > 0.0;
-        if !admitted {
-            self.book.turned_back += 1;
-            self.answer(now, id, Answer::Refused { retry_after: 0.0 });
-        }
-        admitted
+        let reason = match (room, time_left > 0.0) {
+            (true, true) => return true,
+            (false, _) => RefusalReason::NoRoom,
+            (true, false) => RefusalReason::NoTime,
+        };
+        self.book.turned_back += 1;
+        self.refuse(now, id, 0.0, reason);
+        false
     }
 }
--- a/crates/routing/src/book.rs
+++ b/crates/routing/src/book.rs
@@ -1,6 +1,9 @@
 //! Stage 6: what is counted of all that.
 
+use super::event_log::{RefusalReason, REFUSALS};
 use super::flow::Answer;
+use super::guard::{Withheld, WITHHELD};
+use super::invariants::{Violation, VIOLATIONS};
 use roseproxy_decision::interface::Outcome;
 
 /// Counts since the start.
@@ -24,6 +27,12 @@
     pub forwards: u64,
     /// Forwards by outcome, in the order of [`OUTCOMES`].
     pub outcomes: [u64; 8],
+    /// Attempts withheld by reason, in the order of [`WITHHELD`].
+    pub withheld: [u64; WITHHELD.len()],
+    /// Refusals by reason, in the order of [`REFUSALS`].
+    pub refusals: [u64; REFUSALS.len()],
+    /// Violated invariants, in the order of [`VIOLATIONS`].
+    pub violations: [u64; VIOLATIONS.len()],
     /// Probes sent.
     pub probes: u64,
     /// Probes that brought nothing.
@@ -56,9 +65,19 @@
     }
 
     pub(super) fn ended(&mut self, outcome: Outcome) {
-        if let Some(at) = OUTCOMES.iter().position(|(o, _)| *o == outcome) {
-            self.outcomes[at] += 1;
-        }
+        add(&mut self.outcomes, &OUTCOMES, outcome);
+    }
+
+    pub(super) fn withheld(&mut self, reason: Withheld) {
+        add(&mut self.withheld, &WITHHELD, reason);
+    }
+
+    pub(super) fn refused(&mut self, reason: RefusalReason) {
+        add(&mut self.refusals, &REFUSALS, reason);
+    }
+
+    pub(super) fn violated(&mut self, violation: Violation) {
+        add(&mut self.violations, &VIOLATIONS, violation);
     }
 
     /// Every count with its name.
@@ -77,8 +96,28 @@
             ("discovery_lists", self.lists),
             ("discovery_failures", self.list_failures),
         ];
-        let outcomes = OUTCOMES.iter().zip(self.outcomes);
         let plain = plain.into_iter().map(|(name, count)| (name.to_owned(), count));
-        plain.chain(outcomes.map(|((_, name), count)| (format!("forwards_{name}"), count))).collect()
+        plain
+            .chain(named("forwards", &OUTCOMES, &self.outcomes))
+            .chain(named("attempts_withheld", &WITHHELD, &self.withheld))
+            .chain(named("refused", &REFUSALS, &self.refusals))
+            .chain(named("violations", &VIOLATIONS, &self.violations))
+            .collect()
+    }
+}
+
+/// One more of a kind.
+fn add<K: PartialEq>(counts: &mut [u64], kinds: &[(K, &str)], kind: K) {
+    if let Some(at) = kinds.iter().position(|(k, _)| *k == kind) {
+        counts[at] += 1;
     }
 }
+
+/// Counts by kind, with their names.
+fn named<'a, K>(
+    prefix: &'a str,
+    kinds: &'a [(K, &str)],
+    counts: &'a [u64],
+) -> impl Iterator<Item = (String, u64)> + 'a {
+    kinds.iter().zip(counts).map(move |((_, name), count)| (format!("{prefix}_{name}"), *count))
+}
--- /dev/null
+++ b/crates/routing/src/event_log.rs
@@ -0,0 +1,220 @@
+//! The event log: what happened to each request, attempt, connection and endpoint, and why.
+//!
+//! The latest events are kept in memory and printed on request; where a sink is set, each is also printed as it happens.
+
+use super::flow::FlowId;
+use super::guard::Withheld;
+use super::invariants::Violation;
+use roseproxy_decision::interface::{Outcome, Readiness, ServerId};
+use std::collections::VecDeque;
+use std::fmt;
+use std::rc::Rc;
+
+/// How many events are kept.
+const KEPT: usize = 512;
+/// How much of a client's id is kept (bytes).
+const ID_KEPT: usize = 40;
+
+/// Why a request was refused.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RefusalReason {
+    /// Too many requests are open.
+    NoRoom,
+    /// The client has no time left.
+    NoTime,
+    /// The module refused it before any attempt.
+    NotAttempted,
+    /// The module gave it up after attempts that did it no harm.
+    AttemptsFailed,
+}
+
+/// All reasons of refusals with the names that they are counted under.
+pub const REFUSALS: [(RefusalReason, &str); 4] = [
+    (RefusalReason::NoRoom, "no_room"),
+    (RefusalReason::NoTime, "no_time"),
+    (RefusalReason::NotAttempted, "not_attempted"),
+    (RefusalReason::AttemptsFailed, "attempts_failed"),
+];
+
+/// Why a client's connection ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum CloseReason {
+    /// The client closed it, or it broke.
+    Client,
+    /// The client left while its request was open.
+    Departed,
+    /// Its last answer said so: the end of the process, a malformed request, or bytes behind the request.
+    Answered,
+    /// It stood idle for long.
+    Idle,
+    /// Its request did not come whole in time.
+    Late,
+    /// Its place was wanted, or the process ends.
+    Shutdown,
+}
+
+/// All reasons of closes with the names that they are counted under.
+pub const CLOSES: [(CloseReason, &str); 6] = [
+    (CloseReason::Client, "client"),
+    (CloseReason::Departed, "departed"),
+    (CloseReason::Answered, "answered"),
+    (CloseReason::Idle, "idle"),
+    (CloseReason::Late, "late"),
+    (CloseReason::Shutdown, "shutdown"),
+];
+
+/// What happened.
+#[derive(Clone, Debug, PartialEq)]
+pub enum EventKind {
+    /// A request was taken in.
+    Taken {
+        /// The start of the client's id.
+        client_id: Box<str>,
+        /// Its class.
+        class: usize,
+        /// How long the client waits (ms).
+        time_left: f64,
+    },
+    /// An attempt was ordered.
+    AttemptOrdered {
+        /// Its number.
+        attempt: usize,
+        /// Where it goes.
+        endpoint: ServerId,
+        /// How long its answer is awaited (ms).
+        patience: f64,
+    },
+    /// An attempt was withheld.
+    AttemptWithheld {
+        /// Its number.
+        attempt: usize,
+        /// Why.
+        reason: Withheld,
+    },
+    /// An attempt's first byte went out.
+    AttemptBegan {
+        /// Its number.
+        attempt: usize,
+    },
+    /// An attempt's last byte went out.
+    AttemptWhole {
+        /// Its number.
+        attempt: usize,
+        /// The time told to the endpoint (ms).
+        told: f64,
+    },
+    /// An attempt ended.
+    AttemptEnded {
+        /// Its number.
+        attempt: usize,
+        /// How.
+        outcome: Outcome,
+    },
+    /// A request was served.
+    Served,
+    /// A request was refused.
+    Refused(RefusalReason),
+    /// A request failed.
+    Failed,
+    /// A request's client left.
+    ClientLeft,
+    /// A client's connection was closed.
+    Closed(CloseReason),
+    /// An endpoint's state changed.
+    Endpoint {
+        /// Which.
+        endpoint: ServerId,
+        /// To what.
+        readiness: Readiness,
+    },
+    /// The watch on discovery or a call to it failed.
+    WatchFailed,
+    /// The watch on discovery fell silent and is opened anew.
+    WatchSilent,
+    /// An invariant was violated.
+    Violated(Violation),
+}
+
+/// An event with its time (ms) and its request.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Record {
+    at: f64,
+    request: Option<FlowId>,
+    kind: EventKind,
+}
+
+impl fmt::Display for Record {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:.1}", self.at)?;
+        if let Some(request) = self.request {
+            write!(f, " request={request}")?;
+        }
+        match &self.kind {
+            EventKind::Taken { client_id, class, time_left } => {
+                write!(f, " taken id={client_id} class={class} time_left={time_left:.0}")
+            }
+            EventKind::AttemptOrdered { attempt, endpoint, patience } => {
+                write!(f, " attempt={attempt} ordered endpoint={:016x} patience={patience:.0}", endpoint.0)
+            }
+            EventKind::AttemptWithheld { attempt, reason } => {
+                write!(f, " attempt={attempt} withheld reason={}", reason.name())
+            }
+            EventKind::AttemptBegan { attempt } => write!(f, " attempt={attempt} began"),
+            EventKind::AttemptWhole { attempt, told } => write!(f, " attempt={attempt} whole told={told:.0}"),
+            EventKind::AttemptEnded { attempt, outcome } => {
+                write!(f, " attempt={attempt} ended outcome={outcome:?}")
+            }
+            EventKind::Served => write!(f, " served"),
+            EventKind::Refused(reason) => write!(f, " refused reason={reason:?}"),
+            EventKind::Failed => write!(f, " failed"),
+            EventKind::ClientLeft => write!(f, " client_left"),
+            EventKind::Closed(reason) => write!(f, " connection_closed reason={reason:?}"),
+            EventKind::Endpoint { endpoint, readiness } => {
+                write!(f, " endpoint={:016x} state={readiness:?}", endpoint.0)
+            }
+            EventKind::WatchFailed => write!(f, " watch_failed"),
+            EventKind::WatchSilent => write!(f, " watch_silent"),
+            EventKind::Violated(violation) => write!(f, " VIOLATED {}", violation.name()),
+        }
+    }
+}
+
+/// Takes each event as a line.
+pub type Sink = Rc<dyn Fn(&str)>;
+
+/// The latest events.
+#[derive(Default)]
+pub struct EventLog {
+    latest: VecDeque<Record>,
+    sink: Option<Sink>,
+}
+
+impl EventLog {
+    /// Has each event printed as it happens, too.
+    pub fn print_to(&mut self, sink: Sink) {
+        self.sink = Some(sink);
+    }
+
+    /// Records an event.
+    pub fn record(&mut self, at: f64, request: Option<FlowId>, kind: EventKind) {
+        let record = Record { at, request, kind };
+        if let Some(sink) = &self.sink {
+            sink(&format!("event {record}"));
+        }
+        if self.latest.len() == KEPT {
+            self.latest.pop_front();
+        }
+        self.latest.push_back(record);
+    }
+
+    /// The latest events, one a line, the oldest first.
+    pub fn text(&self) -> String {
+        self.latest.iter().map(|record| format!("{record}\n")).collect()
+    }
+}
+
+/// The start of a client's id, as the log keeps it.
+pub fn shortened(id: &[u8]) -> Box<str> {
+    let start = &id[..id.len().min(ID_KEPT)];
+    String::from_utf8_lossy(start).into()
+}
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -12,10 +12,12 @@
 pub mod admit;
 pub mod book;
 pub mod decide;
+pub mod event_log;
 pub mod flow;
+pub mod guard;
+pub mod invariants;
 pub mod relay;
 pub mod route;
-mod rules;
 pub mod send;
 pub mod take_in;
 pub mod time;
@@ -23,6 +25,7 @@
 
 use book::Book;
 use decide::Decider;
+use event_log::{EventKind, EventLog, RefusalReason};
 use flow::{FlowId, ForwardId, Order, Target};
 use roseproxy_decision::interface::{Action, ClassId, Micros, Outcome, Readiness, ServerId, Settings};
 use roseproxy_decision::policy::Balancer;
@@ -104,6 +107,8 @@
     pushed_calls: PushedCalls,
     /// What came in, went out and was answered.
     pub book: Book,
+    /// What happened of late, and why.
+    pub events: EventLog,
 }
 
 impl Host {
@@ -132,6 +137,7 @@
             last_probe: 0,
             pushed_calls: PushedCalls::default(),
             book: Book::default(),
+            events: EventLog::default(),
         }
     }
 
@@ -163,6 +169,13 @@
         self.flows.len()
     }
 
+    /// Their numbers, in order.
+    pub fn open_ids(&self) -> Vec<FlowId> {
+        let mut open: Vec<FlowId> = self.flows.keys().copied().collect();
+        open.sort_unstable(); // nothing may depend on the order of a hash table
+        open
+    }
+
     /// Whether a request would find a target in service.
     pub fn can_serve(&self) -> bool {
         self.members.values().any(|m| m.target.readiness == Readiness::Ready)
--- a/crates/routing/src/relay.rs
+++ b/crates/routing/src/relay.rs
@@ -2,7 +2,7 @@
 
 use super::flow::{Answer, FlowId, ForwardId, Order};
 use super::timers::Due;
-use super::Host;
+use super::{EventKind, Host, RefusalReason};
 use roseproxy_decision::interface::{Event, Outcome};
 
 /// How long after a flow's deadline the guard below waits for the module's own answer (ms).
@@ -11,17 +11,35 @@
 impl Host {
     /// Answers a flow, unless it has its answer: the first one wins every race.
     pub(super) fn answer(&mut self, now: f64, id: FlowId, answer: Answer) {
-        // A refusal says that trying again is harmless, which is not the module's to claim against the rules.
-        let answer = match answer {
-            Answer::Refused { .. } if !self.may_refuse(id) => Answer::Failed,
-            answer => answer,
-        };
-        if self.close_flow(now, id) {
-            self.book.answered(&answer);
-            self.orders.push_back(Order::Answer(id, answer));
+        self.answer_as(now, id, answer, None);
+    }
+
+    /// Refuses a request, or fails it: a refusal says that trying again is harmless, which is not the module's to claim
+    /// against the rules.
+    pub(super) fn refuse(&mut self, now: f64, id: FlowId, retry_after: f64, reason: RefusalReason) {
+        if self.may_refuse(id) {
+            self.answer_as(now, id, Answer::Refused { retry_after }, Some(reason));
+        } else {
+            self.answer_as(now, id, Answer::Failed, None);
         }
     }
 
+    fn answer_as(&mut self, now: f64, id: FlowId, answer: Answer, refusal: Option<RefusalReason>) {
+        self.check_answer_time(now, id);
+        if !self.close_flow(now, id) {
+            return;
+        }
+        self.book.answered(&answer);
+        refusal.into_iter().for_each(|reason| self.book.refused(reason));
+        let kind = match (&answer, refusal) {
+            (Answer::Served(_), _) => EventKind::Served,
+            (_, Some(reason)) => EventKind::Refused(reason),
+            _ => EventKind::Failed,
+        };
+        self.events.record(now, Some(id), kind);
+        self.orders.push_back(Order::Answer(id, answer));
+    }
+
     /// Ends a flow, and with it every forward of which nothing is written yet, whatever the module may do:
     /// nobody waits for it any more. False where the flow has ended before.
     pub(super) fn close_flow(&mut self, now: f64, id: FlowId) -> bool {
@@ -43,9 +61,7 @@
 
     /// Answers every flow that is open as failed: the program is about to end.
     pub fn fail_all(&mut self, now: f64) {
-        let mut open: Vec<FlowId> = self.flows.keys().copied().collect();
-        open.sort_unstable(); // nothing may depend on the order of a hash table
-        for id in open {
+        for id in self.open_ids() {
             self.fail(now, id);
         }
     }
--- a/crates/routing/src/route.rs
+++ b/crates/routing/src/route.rs
@@ -2,7 +2,7 @@
 
 use super::flow::{Answer, Order, ProbeEnd};
 use super::timers::Due;
-use super::{micros_since, time, Host, PROBE_PATIENCE};
+use super::{micros_since, time, Host, RefusalReason, PROBE_PATIENCE};
 use roseproxy_decision::interface::{Action, Event, Outcome, ServerId};
 
 impl Host {
@@ -20,6 +20,7 @@
                 load: None,
             };
             self.book.ended(ending.outcome);
+            self.record_end(now, ending.id, ending.outcome);
             self.handle(now, event);
         }
     }
@@ -38,7 +39,10 @@
             Action::Send { request, server, timeout } => self.send(now, request, server, timeout),
             Action::Cancel { request, attempt } => self.cancel(now, request, attempt),
             Action::Refuse { request, retry_after } => {
-                self.answer(now, request, Answer::Refused { retry_after: time::to_millis(retry_after) });
+                let attempted = self.flows.get(&request).is_some_and(|f| f.attempts > 0);
+                let reason =
+                    if attempted { RefusalReason::AttemptsFailed } else { RefusalReason::NotAttempted };
+                self.refuse(now, request, time::to_millis(retry_after), reason);
             }
             Action::Fail { request } => self.answer(now, request, Answer::Failed),
             Action::Timer { token, after } => {
--- a/crates/routing/src/send.rs
+++ b/crates/routing/src/send.rs
@@ -1,57 +1,68 @@
 //! Stage 4: forwards go out, and end exactly once each.
 
 use super::flow::{Answer, FlowId, ForwardEnd, ForwardId, Order};
+use super::guard::{Withheld, WritePermit};
 use super::timers::Due;
-use super::{micros_since, time, Ending, Forward, Host};
-use roseproxy_decision::interface::{Event, Load, Micros, Outcome, Readiness, ServerId};
+use super::{micros_since, time, Ending, EventKind, Forward, Host};
+use roseproxy_decision::interface::{Event, Load, Micros, Outcome, ServerId};
 
 impl Host {
     pub(super) fn send(&mut self, now: f64, flow: FlowId, target: ServerId, timeout: Option<Micros>) {
         let Some(open) = self.flows.get_mut(&flow) else {
             let id = ForwardId { flow, attempt: 0 };
-            return self.end_unsent(id, target);
+            return self.withhold(now, id, target, Withheld::RequestEnded);
         };
         let id = ForwardId { flow, attempt: open.attempts };
         open.attempts += 1;
         let left = open.deadline - now;
         let patience = timeout.map_or(left, |t| time::to_millis(t).min(left));
-        // Never more attempts than the platform allows, none without time, none into a drain.
-        let spent = open.attempts > self.settings.max_attempts || patience <= 0.0;
-        let address = self.members.get(&target).map(|m| m.target.address);
-        let (Some(address), false, true) = (address, spent, self.takes_work(now, target)) else {
-            return self.end_unsent(id, target);
+        if let Err(reason) = self.may_send(now, id, target, patience) {
+            return self.withhold(now, id, target, reason);
+        }
+        let Some(address) = self.members.get(&target).map(|m| m.target.address) else {
+            return self.withhold(now, id, target, Withheld::EndpointGone);
         };
         self.book.forwards += 1;
         self.forwards.insert(id, Forward { target, sent: now, written: false });
         self.timers.set(now + patience, Due::Forward(id));
+        let ordered = EventKind::AttemptOrdered { attempt: id.attempt, endpoint: target, patience };
+        self.events.record(now, Some(id.flow), ordered);
         self.orders.push_back(Order::Forward { id, target, address, patience });
     }
 
-    fn end_unsent(&mut self, id: ForwardId, target: ServerId) {
+    /// An attempt that may not be sent has ended before it began.
+    fn withhold(&mut self, now: f64, id: ForwardId, target: ServerId, reason: Withheld) {
+        self.note_withheld(now, id, reason);
         self.endings.push_back(Ending { id, target, outcome: Outcome::NotSent, elapsed: 0.0 });
     }
 
-    /// Whether a target may be sent something new. Word of its drain may have come between a decision
-    /// and the send: within the grace that is allowed, and after it never.
-    fn takes_work(&self, now: f64, target: ServerId) -> bool {
-        let grace = time::to_millis(self.settings.network.drain_grace) / 2.0;
-        self.members.get(&target).is_some_and(|m| match m.target.readiness {
-            Readiness::Ready => true,
-            Readiness::Draining => m.leaving_since.is_some_and(|since| now - since < grace),
-            Readiness::Gone => false,
-        })
+    fn note_withheld(&mut self, now: f64, id: ForwardId, reason: Withheld) {
+        self.book.withheld(reason);
+        let kind = EventKind::AttemptWithheld { attempt: id.attempt, reason };
+        self.events.record(now, Some(id.flow), kind);
+    }
+
+    pub(super) fn record_end(&mut self, now: f64, id: ForwardId, outcome: Outcome) {
+        let kind = EventKind::AttemptEnded { attempt: id.attempt, outcome };
+        self.events.record(now, Some(id.flow), kind);
     }
 
-    /// Asked right before a forward's first byte, which may come long after the decision, as connections come
+    /// Asked right before an attempt's first byte, which may come long after the decision, as connections come
     /// up late: `None` where it shall not be written any more. The front then reports it as
-    /// [`Outcome::NotSent`]. Else the forward counts as written, and its last byte must be out by the time
-    /// returned, infinity where there is no hurry: the front breaks it off else.
-    pub fn begin_write(&mut self, now: f64, id: ForwardId) -> Option<f64> {
+    /// [`Outcome::NotSent`]. Else it counts as written from here on.
+    pub fn begin_write(&mut self, now: f64, id: ForwardId) -> Option<WritePermit> {
         let forward = self.forwards.get(&id)?;
         let (target, sent) = (forward.target, forward.sent);
-        let whole_by = self.may_join(now, id, target).filter(|_| self.takes_work(now, target))?;
-        self.note_written(id, target, sent);
-        Some(whole_by)
+        match self.may_write(now, id, target) {
+            Ok(permit) => {
+                self.note_written(id, target, sent);
+                Some(permit)
+            }
+            Err(reason) => {
+                self.note_withheld(now, id, reason);
+                None
+            }
+        }
     }
 
     /// A forward has ended on the network. One that was given up before is heard no more.
@@ -60,6 +71,7 @@
         let outcome = end.outcome();
         self.note_ended(id, outcome);
         self.book.ended(outcome);
+        self.record_end(now, id, outcome);
         if let ForwardEnd::Served(body) = end {
             self.answer(now, id.flow, Answer::Served(body));
         }
--- a/crates/routing/src/take_in.rs
+++ b/crates/routing/src/take_in.rs
@@ -2,7 +2,7 @@
 
 use super::flow::{FlowId, NewFlow, Target};
 use super::timers::Due;
-use super::{time, Flow, Host, Member, SPARE};
+use super::{time, EventKind, Flow, Host, Member, SPARE};
 use roseproxy_decision::interface::{Event, Readiness, Request, Server, Update};
 
 impl Host {
@@ -35,6 +35,7 @@
         // An answer may have won the race; then the flow is not there any more.
         if self.close_flow(now, id) {
             self.book.gone += 1;
+            self.events.record(now, Some(id), EventKind::ClientLeft);
             self.tell(now, Event::Expired { request: id });
         }
     }
@@ -46,7 +47,11 @@
         if update == Update::Complete {
             let named: std::collections::HashSet<_> = targets.iter().map(|t| t.id).collect();
             let absent = self.members.values_mut().filter(|m| !named.contains(&m.target.id));
-            absent.for_each(|m| m.leave(now, Readiness::Gone));
+            for member in absent.filter(|m| m.target.readiness != Readiness::Gone) {
+                member.leave(now, Readiness::Gone);
+                let (endpoint, readiness) = (member.target.id, Readiness::Gone);
+                self.events.record(now, None, EventKind::Endpoint { endpoint, readiness });
+            }
         }
         for target in targets {
             let member = self.members.entry(target.id).or_insert_with(|| Member {
@@ -55,6 +60,9 @@
                 probe: None,
             });
             let readiness = target.readiness;
+            if member.target.readiness != readiness {
+                self.events.record(now, None, EventKind::Endpoint { endpoint: target.id, readiness });
+            }
             member.target = target.clone();
             match readiness {
                 Readiness::Ready => member.leaving_since = None,
@@ -79,6 +87,7 @@
     /// A call to discovery failed or the watch broke; the list in hand stays.
     pub fn targets_failed(&mut self, now: f64) {
         self.book.list_failures += 1;
+        self.events.record(now, None, EventKind::WatchFailed);
         if !self.settings.must_subscribe {
             // The module asks for no list where they are pushed.
             let pause = time::to_millis(self.pushed_calls.failed());
@@ -89,6 +98,7 @@
 
     /// The watch fell silent and is opened anew without a pause; the list in hand stays.
     pub fn watch_reopened(&mut self, now: f64) {
+        self.events.record(now, None, EventKind::WatchSilent);
         self.tell(now, Event::Servers { update: Update::Reopened, servers: &[] });
     }
 
--- a/crates/transport/src/connection.rs
+++ b/crates/transport/src/connection.rs
@@ -1,6 +1,6 @@
 //! One connection to a target: hyper's client, with the bytes of each request counted.
 
-use super::meter::Meter;
+use super::meter::{Meter, Report};
 use super::network::Quiet;
 use super::tap::Tapped;
 use super::Task;
@@ -94,13 +94,15 @@
     }
 
     /// The same for a request that must not be written on from some moment: where it is not whole then it is broken
-    /// off, and never runs.
-    pub async fn exchange_unless(
+    /// off, and never runs. How far it goes out is reported.
+    pub(super) async fn exchange_unless(
         &mut self,
         outgoing: Outgoing,
         too_late: impl Future<Output = ()>,
+        report: Report,
     ) -> Exchange {
         let (written, whole_at) = (self.meter.clone(), self.meter.written() + outgoing.length);
+        self.meter.watch(outgoing.length, report);
         let broken_off = async {
             too_late.await;
             if written.written() >= whole_at {
--- a/crates/transport/src/gateway.rs
+++ b/crates/transport/src/gateway.rs
@@ -2,6 +2,7 @@
 
 use super::budget::Budget;
 use super::connection::{Connection, Exchange};
+use super::meter::Milestone;
 use super::network::Network;
 use super::pool::{Line, Pool};
 use super::{length, Task};
@@ -10,7 +11,9 @@
 use roseproxy_decision::interface::{Load, Outcome, ServerId, Update};
 use roseproxy_platform::request::{Classes, Outgoing, Passing};
 use roseproxy_platform::{load, outcome};
+use roseproxy_routing::event_log::{shortened, CloseReason, EventKind, Sink, CLOSES};
 use roseproxy_routing::flow::{Answer, FlowId, ForwardEnd, ForwardId, NewFlow, Order, ProbeEnd, Target};
+use roseproxy_routing::invariants::Violation;
 use roseproxy_routing::time::{to_millis, Now};
 use roseproxy_routing::Host;
 use std::cell::{Cell, RefCell};
@@ -51,6 +54,8 @@
     pub bad_reports: Cell<u64>,
     /// Discovery lines and entries that could not be read.
     pub bad_lists: Cell<u64>,
+    /// Client connections closed by reason, in the order of [`CLOSES`].
+    pub closes: RefCell<[u64; CLOSES.len()]>,
 }
 
 /// One more.
@@ -145,6 +150,9 @@
         }
         let (answer, receiver) = oneshot::channel();
         let id = self.host.borrow_mut().take_in(self.now(), new);
+        let client_id = shortened(passing.id.as_bytes());
+        let taken = EventKind::Taken { client_id, class: new.class, time_left: new.time_left };
+        self.host.borrow_mut().events.record(self.now(), Some(id), taken);
         let waiting = Waiting { passing: Rc::new(passing), answer, ended: Rc::default() };
         self.waiting.borrow_mut().insert(id, waiting);
         self.settle();
@@ -207,6 +215,37 @@
         self.watch_wish.set(false);
     }
 
+    /// Has each event printed as it happens.
+    pub fn print_events(&self, sink: Sink) {
+        self.host.borrow_mut().events.print_to(sink);
+    }
+
+    /// The latest events, one a line.
+    pub fn events(&self) -> String {
+        self.host.borrow().events.text()
+    }
+
+    /// A client's connection ends; `open` is the request on it that has no answer.
+    pub(super) fn client_closed(&self, reason: CloseReason, open: Option<FlowId>) {
+        if let Some(at) = CLOSES.iter().position(|(r, _)| *r == reason) {
+            self.traffic.closes.borrow_mut()[at] += 1;
+        }
+        let mut host = self.host.borrow_mut();
+        host.events.record(self.now(), open, EventKind::Closed(reason));
+        let by_client = matches!(reason, CloseReason::Client | CloseReason::Departed);
+        if open.is_some() && !by_client {
+            host.violated(self.now(), open, Violation::ClosedUnanswered);
+        }
+    }
+
+    /// The process ends now: what is still open is lost.
+    pub fn exiting(&self) {
+        let mut host = self.host.borrow_mut();
+        for request in host.open_ids() {
+            host.violated(self.now(), Some(request), Violation::OpenAtExit);
+        }
+    }
+
     /// Whether a request would find a target.
     pub fn can_serve(&self) -> bool {
         self.host.borrow().can_serve()
@@ -245,6 +284,8 @@
         ];
         lines.extend(self.host.borrow().picture());
         lines.extend(sockets.into_iter().map(|(name, count)| (name.to_owned(), count)));
+        let closes = CLOSES.iter().zip(*t.closes.borrow());
+        lines.extend(closes.map(|((_, name), count)| (format!("clients_closed_by_{name}"), count)));
         lines
     }
 
@@ -346,8 +387,8 @@
         mut line: Line,
     ) -> (ForwardEnd, Option<Load>) {
         let now = self.now();
-        let whole_by = self.host.borrow_mut().begin_write(now, id);
-        let Some(whole_by) = whole_by else {
+        let permit = self.host.borrow_mut().begin_write(now, id);
+        let Some(permit) = permit else {
             self.keep(target, line);
             return (ForwardEnd::Lost(Outcome::NotSent), None);
         };
@@ -356,10 +397,13 @@
             tokio::select! {
                 biased;
                 () = ended.notified() => {}
-                () = at(whole_by - now) => {}
+                () = at(permit.whole_by - now) => {}
             }
         };
-        match line.connection.exchange_unless(passing.to_target(until - now), too_late).await {
+        let told = until - now;
+        let gateway = self.clone();
+        let report = Box::new(move |milestone| gateway.attempt_passed(id, milestone, told));
+        match line.connection.exchange_unless(passing.to_target(told), too_late, report).await {
             Exchange::Answered(status, headers, body) => {
                 self.keep(target, line);
                 (outcome::of_answer(status, &headers, body), load::of_headers(&headers))
@@ -372,6 +416,15 @@
         }
     }
 
+    /// Has the invariants checked at the instant at which an attempt goes out.
+    fn attempt_passed(&self, id: ForwardId, milestone: Milestone, told: f64) {
+        let (now, mut host) = (self.now(), self.host.borrow_mut());
+        match milestone {
+            Milestone::Began => host.attempt_began(now, id),
+            Milestone::Whole => host.attempt_whole(now, id, told),
+        }
+    }
+
     async fn probe(self: Rc<Self>, target: ServerId, address: SocketAddr) {
         let end = match self.line(target, address, self.connect_timeout).await {
             Err(outcome) => ProbeEnd { outcome, load: None },
--- a/crates/transport/src/listener.rs
+++ b/crates/transport/src/listener.rs
@@ -9,6 +9,7 @@
 use super::{length, Task};
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming as Body;
+use hyper::header::CONNECTION;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{Request, StatusCode};
@@ -16,6 +17,7 @@
 use roseproxy_platform::answer::{end_connection, plain, to_client, turned_away, Reply};
 use roseproxy_platform::request::{oversized, Malformed, Passing};
 use roseproxy_platform::BODY_LIMIT;
+use roseproxy_routing::event_log::CloseReason;
 use roseproxy_routing::flow::FlowId;
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
@@ -66,12 +68,14 @@
     asked: Cell<bool>,
     /// What comes in.
     incoming: Rc<Incoming>,
-    /// Whether a flow is open on it, whose client may leave.
-    flow_open: Cell<bool>,
+    /// The flow that is open on it, whose client may leave.
+    flow_open: Cell<Option<FlowId>>,
     /// Whether it is to end as soon as nothing is on it, or behind the next answer.
     unwanted: Cell<bool>,
     /// Whether bytes may be left unread behind its last answer.
     untidy: Cell<bool>,
+    /// Whether the answer given is the last one on it.
+    last_answer: Cell<bool>,
     /// Asks for a look whether it is to end. What was seen when this was asked may not hold any more: its own task
     /// looks again.
     look: Notify,
@@ -213,17 +217,18 @@
         }
     }
 
-    /// Whether a connection ends now. A request whose last byte is there is taken, read or not: only where nothing is
+    /// Why a connection ends now, if it does. A request whose last byte is there is taken, read or not: only where nothing is
     /// being answered and nothing waits to be read or written may it be closed.
-    fn ends(&self, seat: &Seat, quiet: &Quiet, blocked: bool) -> bool {
+    fn ends(&self, seat: &Seat, quiet: &Quiet, blocked: bool) -> Option<CloseReason> {
         let now = self.gateway.now();
-        let Some(since) = seat.idle_since.get().filter(|_| !blocked && quiet()) else { return false };
+        let since = seat.idle_since.get().filter(|_| !blocked && quiet())?;
         if seat.late(now) {
             count(&self.gateway.traffic.late_requests);
-            return true;
+            return Some(CloseReason::Late);
         }
         let closing = self.phase.get() == Phase::Closing && (seat.asked.get() || now - since >= FIRST);
-        seat.idle().is_some() && (seat.unwanted.get() || closing)
+        let reason = if closing { CloseReason::Shutdown } else { CloseReason::Idle };
+        (seat.idle().is_some() && (seat.unwanted.get() || closing)).then_some(reason)
     }
 
     async fn serve(self: &Rc<Self>, seat: &Rc<Seat>, stream: N::Accepted, quiet: Quiet) {
@@ -239,19 +244,23 @@
         // hyper's half of it goes at the end of this block, and a flow that is open on it is told by its guard.
         {
             let mut connection = pin!(connection);
-            loop {
+            let reason = loop {
                 tokio::select! {
                     biased;
-                    // How it ends is the client's business.
-                    _ = connection.as_mut() => break,
-                    () = client.departed(&seat.incoming, || seat.flow_open.get()) => break,
+                    _ = connection.as_mut() => {
+                        break if seat.last_answer.get() { CloseReason::Answered } else { CloseReason::Client };
+                    }
+                    () = client.departed(&seat.incoming, || seat.flow_open.get().is_some()) => {
+                        break CloseReason::Departed;
+                    }
                     () = seat.look.notified() => {
-                        if self.ends(seat, &quiet, client.blocked()) {
-                            break;
+                        if let Some(reason) = self.ends(seat, &quiet, client.blocked()) {
+                            break reason;
                         }
                     }
                 }
-            }
+            };
+            self.gateway.client_closed(reason, seat.flow_open.get());
         }
         // Half a request, or one that was turned away unread, has its rest still to come.
         if seat.untidy.get() || seat.incoming.begun().is_some() {
@@ -279,6 +288,7 @@
             }
             "/health/ready" => plain(StatusCode::SERVICE_UNAVAILABLE, "not ready\n"),
             "/health/counters" => plain(StatusCode::OK, (self.counters)()),
+            "/health/events" => plain(StatusCode::OK, self.gateway.events()),
             _ => {
                 let flow = self.flow(came, request, &seat).await;
                 flow.unwrap_or_else(|malformed| self.turn_away(&seat, malformed))
@@ -290,6 +300,7 @@
         if !alone || seat.unwanted.get() || self.phase.get() == Phase::Closing {
             end_connection(&mut reply);
         }
+        seat.last_answer.set(reply.headers().contains_key(CONNECTION));
         seat.incoming.begin_anew();
         seat.idle_since.set(Some(self.gateway.now()));
         Ok(reply)
@@ -325,10 +336,10 @@
             reason: "a request with this Request-Id is open",
         })?;
         let guard = Guard { gateway: self.gateway.clone(), id };
-        seat.flow_open.set(true);
+        seat.flow_open.set(Some(id));
         // Routing answers every flow that it took; an answer that never comes is a failure all the same.
         let answer = answer.await.unwrap_or(roseproxy_routing::flow::Answer::Failed);
-        seat.flow_open.set(false);
+        seat.flow_open.set(None);
         drop(guard);
         Ok(to_client(answer))
     }
--- a/crates/transport/src/meter.rs
+++ b/crates/transport/src/meter.rs
@@ -2,7 +2,7 @@
 
 use super::tap::Tap;
 use socket2::SockRef;
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::io::{self, IoSlice};
 use std::pin::Pin;
 use std::rc::Rc;
@@ -10,20 +10,63 @@
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 
+/// How far a request has gone out.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Milestone {
+    /// Its first byte.
+    Began,
+    /// Its last byte.
+    Whole,
+}
+
+/// Hears of the milestones of a request as they are passed.
+pub(super) type Report = Box<dyn Fn(Milestone)>;
+
+/// The request that is going out, by the counts at which it passes its milestones.
+struct Watched {
+    before: u64,
+    whole: u64,
+    began: bool,
+    report: Report,
+}
+
 /// Bytes that a connection has written; shared with whoever asks.
-#[derive(Clone, Debug, Default)]
-pub(super) struct Meter(Rc<Cell<u64>>);
+#[derive(Clone, Default)]
+pub(super) struct Meter(Rc<Counts>);
+
+#[derive(Default)]
+struct Counts {
+    written: Cell<u64>,
+    watched: RefCell<Option<Watched>>,
+}
 
 impl Meter {
     pub fn written(&self) -> u64 {
-        self.0.get()
+        self.0.written.get()
+    }
+
+    /// Reports the milestones of the next request, which takes so many bytes.
+    pub fn watch(&self, length: u64, report: Report) {
+        let before = self.written();
+        let watched = Watched { before, whole: before + length, began: false, report };
+        *self.0.watched.borrow_mut() = Some(watched);
     }
 }
 
 /// What the socket takes counts; what hyper has buffered does not, and what it says of an error is not asked.
 impl Tap for Meter {
     fn went(&mut self, count: usize) {
-        self.0.set(self.0.get() + count as u64);
+        self.0.written.set(self.written() + count as u64);
+        let mut slot = self.0.watched.borrow_mut();
+        let Some(watched) = slot.as_mut() else { return };
+        if !watched.began && self.written() > watched.before {
+            watched.began = true;
+            (watched.report)(Milestone::Began);
+        }
+        if self.written() >= watched.whole {
+            (watched.report)(Milestone::Whole);
+            *slot = None;
+        }
     }
 }
 
