Add the soak test: real processes on loopback under overlapping faults, judged by the invariants

Change: crates/soak starts sidecars, applications, endpoints and discovery as processes, plays faults drawn by a seed (two or three at a time; system calls fail through a preloaded shim), and judges what the stand-ins saw: answers, departures, repeats, refusals, told deadlines, drains, slow starts, crashes. make soak plays ten seeds; docs/soak.md says how to read a report.

--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
 # What the deploy file and the CI script run, by name.
-.PHONY: build test lint run demo lab
+.PHONY: build test lint run demo lab soak
 
 build:
 	cargo build --release --locked
@@ -26,3 +26,8 @@
 	target/release/roseproxy-lab sweep lab/experiments/yardsticks.toml --out out/yardsticks
 	cp out/yardsticks/table.md docs/results/yardsticks.md
 	cp out/yardsticks/chart.svg docs/results/yardsticks.svg
+
+# Real sidecars on loopback under faults that overlap, ten seeds; docs/soak.md says more.
+soak: build
+	cargo build --release --locked -p roseproxy-soak
+	target/release/roseproxy-soak run --first 1 --seeds 10
--- /dev/null
+++ b/crates/soak/src/faults.rs
@@ -0,0 +1,348 @@
+//! The faults of a run: drawn by its seed, two or three at a time.
+
+use crate::control::{ClientConduct, EndpointConduct};
+use crate::fleet::Fleet;
+use crate::records::now;
+use crate::shim::{errno, Fault};
+use crate::timeline::Played;
+use rand::seq::IndexedRandom;
+use rand::Rng;
+use rand_chacha::ChaCha8Rng;
+use std::rc::Rc;
+use std::time::Duration;
+
+/// Lengths of faults (s).
+const LENGTHS: (f64, f64) = (0.4, 3.0);
+/// Time between the begins of faults (s): with these lengths two or three overlap.
+const PAUSES: (f64, f64) = (0.4, 1.0);
+/// How long a draining endpoint stays (ms).
+const DRAIN: f64 = 4_000.0;
+/// What a process may be held up for (ms).
+const STALL: f64 = 140.0;
+
+/// A kind of fault.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Kind {
+    /// A sidecar is ended in order and started again.
+    Restart,
+    /// Discovery moves: all sidecars get a new configuration.
+    Reload,
+    /// The same, while the configuration cannot be opened.
+    ReloadUnreadable,
+    /// A sidecar's process stands still for a moment.
+    Stall,
+    /// An endpoint drains and goes; a new one comes in its place.
+    Drain,
+    /// An endpoint's process dies; it starts again, cold.
+    Crash,
+    /// Endpoints misbehave.
+    Endpoints(Misconduct),
+    /// Discovery is down.
+    DiscoveryDown,
+    /// All open watches fall silent.
+    Silence,
+    /// Clients leave early.
+    Leave,
+    /// Clients write slowly and open connections anew.
+    Slow,
+    /// Clients send what is no request.
+    Misbehave,
+    /// System calls of the sidecars fail.
+    Calls(Failing),
+    /// The wall clock of the sidecars is stepped by so many seconds.
+    WallStep(i64),
+}
+
+/// How endpoints misbehave.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Misconduct {
+    /// They answer nothing.
+    Hang,
+    /// They reset connections behind requests.
+    Reset,
+    /// They reset connections before requests.
+    ResetEarly,
+    /// They fail.
+    Fail,
+    /// They turn work away.
+    Reject,
+    /// They spoil answers.
+    Spoil,
+    /// They close each connection.
+    Close,
+    /// They are slow.
+    Slow,
+}
+
+/// Which system calls fail.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Failing {
+    /// Accepting, with this error.
+    Accept(u32),
+    /// Making sockets, with this error.
+    Socket(u32),
+    /// Connecting, with this error.
+    Connect(u32),
+    /// Reads, writes and waits are interrupted.
+    Interrupt,
+    /// Reads and writes take a part.
+    Shorten,
+    /// Connections to endpoints and discovery break, with this error.
+    Broken(u32),
+    /// Writing the log, with this error.
+    Log(u32),
+}
+
+/// All kinds, the ones that cross most often more than once.
+const KINDS: &[Kind] = &[
+    Kind::Restart,
+    Kind::Restart,
+    Kind::Reload,
+    Kind::ReloadUnreadable,
+    Kind::Stall,
+    Kind::Drain,
+    Kind::Drain,
+    Kind::Crash,
+    Kind::Crash,
+    Kind::Endpoints(Misconduct::Hang),
+    Kind::Endpoints(Misconduct::Reset),
+    Kind::Endpoints(Misconduct::ResetEarly),
+    Kind::Endpoints(Misconduct::Fail),
+    Kind::Endpoints(Misconduct::Reject),
+    Kind::Endpoints(Misconduct::Spoil),
+    Kind::Endpoints(Misconduct::Close),
+    Kind::Endpoints(Misconduct::Slow),
+    Kind::DiscoveryDown,
+    Kind::Silence,
+    Kind::Leave,
+    Kind::Leave,
+    Kind::Slow,
+    Kind::Misbehave,
+    Kind::Calls(Failing::Accept(errno::ENFILE)),
+    Kind::Calls(Failing::Accept(errno::ECONNABORTED)),
+    Kind::Calls(Failing::Socket(errno::ENFILE)),
+    Kind::Calls(Failing::Socket(errno::ENOBUFS)),
+    Kind::Calls(Failing::Connect(errno::EADDRNOTAVAIL)),
+    Kind::Calls(Failing::Connect(errno::ENETUNREACH)),
+    Kind::Calls(Failing::Interrupt),
+    Kind::Calls(Failing::Shorten),
+    Kind::Calls(Failing::Broken(errno::ETIMEDOUT)),
+    Kind::Calls(Failing::Broken(errno::EHOSTUNREACH)),
+    Kind::Calls(Failing::Log(errno::ENOSPC)),
+    Kind::Calls(Failing::Log(errno::EIO)),
+    Kind::WallStep(3_600),
+    Kind::WallStep(-3_600),
+    Kind::WallStep(-5),
+];
+
+/// A fault that is to be played.
+#[derive(Clone, Copy, Debug)]
+pub struct Planned {
+    /// When it begins, from the begin of the run (s).
+    pub at: f64,
+    /// How long it lasts (s).
+    pub length: f64,
+    /// What it is.
+    pub kind: Kind,
+    /// Says which sidecars and endpoints it meets.
+    pub draw: u64,
+}
+
+/// Draws the faults of a run of this length (s).
+pub fn plan(random: &mut ChaCha8Rng, length: f64) -> Vec<Planned> {
+    let mut plan = Vec::new();
+    let mut at = 1.0;
+    while at < length {
+        let kind = KINDS.choose(random).copied().unwrap_or(Kind::Leave);
+        let long = random.random_range(LENGTHS.0..LENGTHS.1);
+        plan.push(Planned { at, length: long, kind, draw: random.random() });
+        at += random.random_range(PAUSES.0..PAUSES.1);
+    }
+    plan
+}
+
+async fn sleep(millis: f64) {
+    tokio::time::sleep(Duration::from_secs_f64(millis.max(0.0) / 1e3)).await;
+}
+
+impl Planned {
+    /// Plays it from its begin to its end.
+    pub async fn play(self, fleet: Rc<Fleet>, began: f64) {
+        sleep(began + self.at * 1e3 - now()).await;
+        let from = now();
+        match self.kind {
+            Kind::Restart => self.restart(&fleet).await,
+            Kind::Reload => reload(&fleet).await,
+            Kind::ReloadUnreadable => {
+                fleet.change_faults(|f| f.config = Fault { error: errno::EMFILE, rate: 1_000_000 });
+                reload(&fleet).await;
+                sleep(self.millis().min(1_000.0)).await;
+                fleet.change_faults(|f| f.config = Fault::default());
+            }
+            Kind::Stall => {
+                let sidecar = self.sidecar(&fleet);
+                fleet.signal(sidecar, "STOP");
+                sleep(STALL).await;
+                fleet.signal(sidecar, "CONT");
+            }
+            Kind::Drain => self.drain(&fleet).await,
+            Kind::Crash => self.crash(&fleet).await,
+            Kind::Endpoints(misconduct) => self.misconduct(&fleet, misconduct).await,
+            Kind::DiscoveryDown => {
+                fleet.registry.borrow_mut().down = true;
+                fleet.publish().await;
+                sleep(self.millis()).await;
+                fleet.registry.borrow_mut().down = false;
+                fleet.publish().await;
+                fleet.timeline.borrow_mut().discovery_down.push((from, now()));
+            }
+            Kind::Silence => {
+                fleet.registry.borrow_mut().silences += 1;
+                fleet.publish().await;
+            }
+            Kind::Leave => {
+                self.clients(
+                    &fleet,
+                    |c| (c.leaves, c.trails) = (0.5, 0.3),
+                    |c| (c.leaves, c.trails) = (0.0, 0.0),
+                )
+                .await
+            }
+            Kind::Slow => {
+                self.clients(
+                    &fleet,
+                    |c| (c.slow, c.reconnects) = (0.3, 0.5),
+                    |c| (c.slow, c.reconnects) = (0.0, 0.0),
+                )
+                .await
+            }
+            Kind::Misbehave => self.clients(&fleet, |c| c.misbehaves = 30.0, |c| c.misbehaves = 0.0).await,
+            Kind::Calls(failing) => {
+                fail(&fleet, failing, true);
+                sleep(self.millis()).await;
+                fail(&fleet, failing, false);
+            }
+            Kind::WallStep(seconds) => fleet.change_faults(|f| f.wall_offset_ns = seconds * 1_000_000_000),
+        }
+        let what = format!("{:?}", self.kind);
+        fleet.timeline.borrow_mut().faults.push(Played { from, until: now(), what });
+    }
+
+    fn millis(&self) -> f64 {
+        self.length * 1e3
+    }
+
+    fn sidecar(&self, fleet: &Fleet) -> usize {
+        (self.draw % fleet.sidecars.len() as u64) as usize
+    }
+
+    /// The number of an endpoint in service.
+    fn endpoint(&self, fleet: &Fleet) -> Option<usize> {
+        let registry = fleet.registry.borrow();
+        let up: Vec<usize> =
+            registry.members.iter().filter(|m| m.phase == "in_service").map(|m| m.endpoint).collect();
+        // Never the last ones: the fleet has to serve.
+        (up.len() > 3).then(|| up[(self.draw / 64 % up.len() as u64) as usize])
+    }
+
+    async fn restart(&self, fleet: &Rc<Fleet>) {
+        let number = self.sidecar(fleet);
+        if fleet.sidecars[number].busy.replace(true) {
+            return;
+        }
+        fleet.stop(number).await;
+        if let Err(reason) = fleet.start(number).await {
+            eprintln!("roseproxy-soak: sidecar {number}: {reason}");
+        }
+        fleet.sidecars[number].busy.set(false);
+    }
+
+    async fn drain(&self, fleet: &Rc<Fleet>) {
+        let Some(number) = self.endpoint(fleet) else { return };
+        fleet.announce(number, "terminating").await;
+        if fleet.add_endpoint(None, false).is_ok() {
+            sleep(100.0).await;
+            fleet.publish().await;
+        }
+        sleep(DRAIN).await;
+        fleet.announce(number, "terminated").await;
+        fleet.remove_endpoint(number);
+    }
+
+    async fn crash(&self, fleet: &Rc<Fleet>) {
+        let Some(number) = self.endpoint(fleet) else { return };
+        let Some(member) = fleet.remove_endpoint(number) else { return };
+        sleep(self.millis() / 2.0).await;
+        fleet.announce(number, "terminated").await;
+        sleep(self.millis() / 2.0).await;
+        if fleet.add_endpoint(Some(&member), false).is_ok() {
+            sleep(100.0).await;
+            fleet.publish().await;
+        }
+    }
+
+    async fn misconduct(&self, fleet: &Rc<Fleet>, misconduct: Misconduct) {
+        let mut conduct = EndpointConduct::default();
+        match misconduct {
+            Misconduct::Hang => conduct.hangs = true,
+            Misconduct::Reset => conduct.resets = 0.3,
+            Misconduct::ResetEarly => conduct.resets_early = 0.3,
+            Misconduct::Fail => conduct.fails = 0.5,
+            Misconduct::Reject => conduct.rejects = 0.7,
+            Misconduct::Spoil => conduct.spoils = 0.4,
+            Misconduct::Close => conduct.closes = true,
+            Misconduct::Slow => conduct.slow = 400.0,
+        }
+        let met: Vec<usize> = {
+            let endpoints = fleet.endpoints.borrow();
+            let every = 2 + self.draw / 64 % 3;
+            endpoints.iter().map(|e| e.member.endpoint).filter(|n| *n as u64 % every == 0).collect()
+        };
+        for number in &met {
+            fleet.conduct(*number, conduct).await;
+        }
+        sleep(self.millis()).await;
+        for number in &met {
+            fleet.conduct(*number, EndpointConduct::default()).await;
+        }
+    }
+
+    async fn clients(
+        &self,
+        fleet: &Rc<Fleet>,
+        begin: impl Fn(&mut ClientConduct),
+        end: impl Fn(&mut ClientConduct),
+    ) {
+        for number in 0..fleet.sidecars.len() {
+            fleet.ask(number, &begin).await;
+        }
+        sleep(self.millis()).await;
+        for number in 0..fleet.sidecars.len() {
+            fleet.ask(number, &end).await;
+        }
+    }
+}
+
+/// Moves discovery, and has all sidecars read where to.
+async fn reload(fleet: &Rc<Fleet>) {
+    let port = fleet.registry.borrow().port;
+    fleet.registry.borrow_mut().port = 1 - port;
+    for number in 0..fleet.sidecars.len() {
+        fleet.reload(number);
+    }
+    fleet.publish().await;
+}
+
+/// Has calls fail, or succeed again.
+fn fail(fleet: &Fleet, failing: Failing, on: bool) {
+    let fault = |error, rate| if on { Fault { error, rate } } else { Fault::default() };
+    fleet.change_faults(|faults| match failing {
+        Failing::Accept(error) => faults.accept = fault(error, 900_000),
+        Failing::Socket(error) => faults.socket = fault(error, 700_000),
+        Failing::Connect(error) => faults.connect = fault(error, 700_000),
+        Failing::Interrupt => faults.interrupt = fault(errno::EINTR, 100_000),
+        Failing::Shorten => faults.shorten = fault(errno::EINTR, 300_000),
+        Failing::Broken(error) => faults.broken = fault(error, 20_000),
+        Failing::Log(error) => faults.log = fault(error, 1_000_000),
+    });
+}
