--- a/Makefile
+++ b/Makefile
@@ -4,8 +4,9 @@
 build:
 	cargo build --release --locked
 
+# TEST_ARGS: more for cargo, as the names of tests to pass over.
 test:
-	cargo test --workspace --locked
+	cargo test --workspace --locked $(TEST_ARGS)
 
 lint:
 	cargo fmt --all --check
--- a/crates/soak/src/judge.rs
+++ b/crates/soak/src/judge.rs
@@ -231,8 +231,8 @@
 
     /// Whether a sidecar's process serves, from its start to its end.
     fn serves(&self, sidecar: usize, at: f64) -> bool {
-        let events = self.timeline.sidecars.iter().filter(|(when, of, _)| *of == sidecar && *when <= at);
-        events.last().is_some_and(|(.., event)| *event == SidecarEvent::Ready)
+        let mut events = self.timeline.sidecars.iter().filter(|(when, of, _)| *of == sidecar && *when <= at);
+        events.next_back().is_some_and(|(.., event)| *event == SidecarEvent::Ready)
     }
 
     fn attempt(&mut self, story: &Story, attempt: &Attempt) {
