Write the log without waiting and without a panic

Cause: every line went through eprintln!, which panics where the write fails, and the release build aborts on a panic: 'ended with signal: 6 (SIGABRT)'. On a full pipe that nobody reads the write waits, and with it the only thread. main.rs (say, the counters at exit, the reason of a failed start) and transport/src/discovery.rs (the first list that cannot be read) wrote so.

Ruled out: nothing else in the program panics on outside input (no unwrap, expect or panic in the sidecar's packages).

Change: crates/roseproxy/src/log.rs opens standard error anew without waiting (its flags are shared with other processes, so they are not changed), falls back to a send without waiting on a socket, and drops and counts lines that cannot be written (log_lines_lost at exit). Warnings of the transport and violated invariants go through the event log to the same place, a hundred of them at most.

The same mistake elsewhere: roseproxy-adapter prints the reason as it ends; nothing else prints.

--- a/crates/roseproxy/src/lib.rs
+++ b/crates/roseproxy/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod clock;
 pub mod config;
 pub mod counters;
+pub mod log;
 pub mod reload;
 pub mod shutdown;
 pub mod signals;
--- a/crates/roseproxy/src/main.rs
+++ b/crates/roseproxy/src/main.rs
@@ -1,6 +1,7 @@
 //! The sidecar: one program on real sockets round the decision module.
 #![forbid(unsafe_code)]
 
+use roseproxy::log::Log;
 use roseproxy::signals::Signals;
 use roseproxy::start::{serve, Surroundings};
 use roseproxy::{config::Config, Clock};
@@ -8,7 +9,7 @@
 use std::process::ExitCode;
 use std::rc::Rc;
 
-fn run() -> Result<(), String> {
+fn run(log: &Rc<Log>) -> Result<(), String> {
     let read = || Config::load(|name| std::env::var(name).ok());
     // One thread: the platform gives the program one core, and routing needs no locks then.
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
@@ -17,20 +18,22 @@
         // Before anything else, so that a signal that comes early is heeded too.
         let signals = Signals::catch().map_err(|e| format!("signals: {e}"))?;
         let config = read().map_err(|e| format!("configuration: {e}"))?;
-        let say: Rc<dyn Fn(&str)> = Rc::new(|line| eprintln!("roseproxy: {line}"));
+        let lines = log.clone();
+        let say: Rc<dyn Fn(&str)> = Rc::new(move |line| lines.say(line));
         let print_events = std::env::var_os("LB_EVENT_LOG").is_some();
         let around = Surroundings { network: Tcp, clock: Clock::system(), say, decider: None, print_events };
         let counts = serve(config, around, signals, read).await?;
-        eprint!("{counts}");
+        log.say_last(&format!("{counts}log_lines_lost {}\n", log.lost()));
         Ok(())
     })
 }
 
 fn main() -> ExitCode {
-    match run() {
+    let log = Rc::new(Log::open());
+    match run(&log) {
         Ok(()) => ExitCode::SUCCESS,
         Err(reason) => {
-            eprintln!("roseproxy: {reason}");
+            log.say_last(&format!("roseproxy: {reason}\n"));
             ExitCode::FAILURE
         }
     }
--- a/crates/roseproxy/src/start.rs
+++ b/crates/roseproxy/src/start.rs
@@ -48,10 +48,7 @@
     };
     let (clients, targets) = Budget::share(config.sockets);
     let gateway = Gateway::new(network, host, classes, targets, clock.reader());
-    if print_events {
-        let say = say.clone();
-        gateway.print_events(Rc::new(move |line| say(line)));
-    }
+    gateway.log_to(say.clone(), print_events);
     // The list as it was known last serves until discovery says more. Without one, the empty list
     // still sets the module asking.
     let known = config.known.as_ref();
--- a/crates/routing/src/event_log.rs
+++ b/crates/routing/src/event_log.rs
@@ -12,6 +12,8 @@
 
 /// How many events are kept.
 const KEPT: usize = 512;
+/// How many warnings are printed: the first ones tell what is wrong, the counters how often.
+const MOST_WARNINGS: u32 = 100;
 /// How much of a client's id is kept (bytes).
 const ID_KEPT: usize = 40;
 
@@ -131,10 +133,19 @@
     WatchFailed,
     /// The watch on discovery fell silent and is opened anew.
     WatchSilent,
+    /// Discovery sent what is no list.
+    BadList(Box<str>),
     /// An invariant was violated.
     Violated(Violation),
 }
 
+impl EventKind {
+    /// Whether an operator should hear of it, whatever else is printed.
+    fn warns(&self) -> bool {
+        matches!(self, EventKind::BadList(_) | EventKind::Violated(_))
+    }
+}
+
 /// An event with its time (ms) and its request.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Record {
@@ -174,6 +185,7 @@
             }
             EventKind::WatchFailed => write!(f, " watch_failed"),
             EventKind::WatchSilent => write!(f, " watch_silent"),
+            EventKind::BadList(reason) => write!(f, " discovery sent what is no list: {reason}"),
             EventKind::Violated(violation) => write!(f, " VIOLATED {}", violation.name()),
         }
     }
@@ -187,18 +199,23 @@
 pub struct EventLog {
     latest: VecDeque<Record>,
     sink: Option<Sink>,
+    /// Whether each event is printed, and not only warnings.
+    every: bool,
+    warnings: u32,
 }
 
 impl EventLog {
-    /// Has each event printed as it happens, too.
-    pub fn print_to(&mut self, sink: Sink) {
-        self.sink = Some(sink);
+    /// Has warnings printed as they happen, or each event.
+    pub fn log_to(&mut self, sink: Sink, every: bool) {
+        (self.sink, self.every) = (Some(sink), every);
     }
 
     /// Records an event.
     pub fn record(&mut self, at: f64, request: Option<FlowId>, kind: EventKind) {
+        let warns = kind.warns() && self.warnings < MOST_WARNINGS;
+        self.warnings += u32::from(warns);
         let record = Record { at, request, kind };
-        if let Some(sink) = &self.sink {
+        if let Some(sink) = self.sink.as_ref().filter(|_| warns || self.every) {
             sink(&format!("event {record}"));
         }
         if self.latest.len() == KEPT {
--- a/crates/transport/src/discovery.rs
+++ b/crates/transport/src/discovery.rs
@@ -8,6 +8,7 @@
 use hyper::StatusCode;
 use roseproxy_platform::discovery::{self, Listing, WatchDecoder, WatchFrame};
 use roseproxy_platform::request::Outgoing;
+use roseproxy_routing::event_log::EventKind;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use tokio::sync::watch;
@@ -147,10 +148,7 @@
             }
             Err(reason) => {
                 count(&traffic.bad_lists);
-                // Sparingly: the first of them tells what is wrong, the count tells how often.
-                if traffic.bad_lists.get() == 1 {
-                    eprintln!("roseproxy: discovery sent what is no list: {reason}");
-                }
+                self.gateway.record(EventKind::BadList(reason.into()));
             }
         }
     }
--- a/crates/transport/src/gateway.rs
+++ b/crates/transport/src/gateway.rs
@@ -215,9 +215,14 @@
         self.watch_wish.set(false);
     }
 
-    /// Has each event printed as it happens.
-    pub fn print_events(&self, sink: Sink) {
-        self.host.borrow_mut().events.print_to(sink);
+    /// Has warnings printed as they happen, or each event.
+    pub fn log_to(&self, sink: Sink, every: bool) {
+        self.host.borrow_mut().events.log_to(sink, every);
+    }
+
+    /// Records an event of no request.
+    pub(super) fn record(&self, kind: EventKind) {
+        self.host.borrow_mut().events.record(self.now(), None, kind);
     }
 
     /// The latest events, one a line.
