--- /dev/null
+++ b/crates/roseproxy/tests/common/faulty.rs
@@ -0,0 +1,110 @@
+//! The system's sockets with calls that fail, as the system documents that they may.
+
+use roseproxy_transport::network::{Network, Quiet, Tcp};
+use std::cell::{Cell, RefCell};
+use std::io::{self, Error, ErrorKind};
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::{Context, Poll};
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::net::TcpListener;
+
+/// Error numbers of Linux.
+pub const ENFILE: i32 = 23;
+pub const EMFILE: i32 = 24;
+pub const EADDRNOTAVAIL: i32 = 99;
+pub const ENETUNREACH: i32 = 101;
+pub const ECONNABORTED: i32 = 103;
+pub const ENOBUFS: i32 = 105;
+
+/// The system's sockets.
+#[derive(Clone, Default)]
+pub struct Faulty {
+    /// Accepting fails with this error, where one is set.
+    pub accepts: Rc<Cell<Option<i32>>>,
+    /// Connecting to these addresses fails with this error, where one is set.
+    pub connects: Rc<RefCell<Option<i32>>>,
+    /// Every other call on a stream is interrupted first.
+    pub interrupts: Rc<Cell<bool>>,
+}
+
+/// A stream of it.
+pub struct Interrupted<S> {
+    stream: S,
+    interrupts: Rc<Cell<bool>>,
+    calls: u64,
+}
+
+impl Network for Faulty {
+    type Listener = TcpListener;
+    type Accepted = Interrupted<<Tcp as Network>::Accepted>;
+    type Opened = Interrupted<<Tcp as Network>::Opened>;
+
+    async fn listen(&self, address: SocketAddr) -> io::Result<TcpListener> {
+        Tcp.listen(address).await
+    }
+
+    async fn accept(&self, listener: &TcpListener) -> io::Result<(Self::Accepted, Quiet)> {
+        // The system fails a call only once there is something to accept.
+        if let Some(error) = self.accepts.get() {
+            let waiting = socket2::SockRef::from(listener).try_clone()?;
+            let waiting = tokio::io::unix::AsyncFd::new(waiting)?;
+            let _ready = waiting.readable().await?;
+            return Err(Error::from_raw_os_error(error));
+        }
+        let (stream, quiet) = Tcp.accept(listener).await?;
+        Ok((self.stream(stream), quiet))
+    }
+
+    async fn connect(&self, address: SocketAddr) -> io::Result<(Self::Opened, Quiet)> {
+        if let Some(error) = *self.connects.borrow() {
+            return Err(Error::from_raw_os_error(error));
+        }
+        let (stream, quiet) = Tcp.connect(address).await?;
+        Ok((self.stream(stream), quiet))
+    }
+}
+
+impl Faulty {
+    fn stream<S>(&self, stream: S) -> Interrupted<S> {
+        Interrupted { stream, interrupts: self.interrupts.clone(), calls: 0 }
+    }
+}
+
+impl<S> Interrupted<S> {
+    fn interrupted(&mut self) -> bool {
+        self.calls += 1;
+        self.interrupts.get() && self.calls % 2 == 1
+    }
+}
+
+impl<S: AsyncRead + Unpin> AsyncRead for Interrupted<S> {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        if self.interrupted() {
+            return Poll::Ready(Err(ErrorKind::Interrupted.into()));
+        }
+        Pin::new(&mut self.stream).poll_read(cx, buf)
+    }
+}
+
+impl<S: AsyncWrite + Unpin> AsyncWrite for Interrupted<S> {
+    fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
+        if self.interrupted() {
+            return Poll::Ready(Err(ErrorKind::Interrupted.into()));
+        }
+        Pin::new(&mut self.stream).poll_write(cx, buf)
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(cx)
+    }
+}
