--- a/crates/roseproxy/tests/common/faulty.rs
+++ b/crates/roseproxy/tests/common/faulty.rs
@@ -2,6 +2,7 @@
 
 use roseproxy_transport::network::{Network, Quiet, Tcp};
 use std::cell::{Cell, RefCell};
+use std::collections::VecDeque;
 use std::io::{self, Error, ErrorKind};
 use std::net::SocketAddr;
 use std::pin::Pin;
@@ -23,12 +24,16 @@
 pub struct Faulty {
     /// Accepting fails with this error, where one is set.
     pub accepts: Rc<Cell<Option<i32>>>,
-    /// Connecting to these addresses fails with this error, where one is set.
-    pub connects: Rc<RefCell<Option<i32>>>,
+    /// Clients that could not be accepted yet.
+    backlog: Rc<RefCell<VecDeque<(Accepted, Quiet)>>>,
+    /// Connecting fails with this error, where one is set.
+    pub connects: Rc<Cell<Option<i32>>>,
     /// Every other call on a stream is interrupted first.
     pub interrupts: Rc<Cell<bool>>,
 }
 
+type Accepted = <Tcp as Network>::Accepted;
+
 /// A stream of it.
 pub struct Interrupted<S> {
     stream: S,
@@ -46,19 +51,23 @@
     }
 
     async fn accept(&self, listener: &TcpListener) -> io::Result<(Self::Accepted, Quiet)> {
-        // The system fails a call only once there is something to accept.
-        if let Some(error) = self.accepts.get() {
-            let waiting = socket2::SockRef::from(listener).try_clone()?;
-            let waiting = tokio::io::unix::AsyncFd::new(waiting)?;
-            let _ready = waiting.readable().await?;
-            return Err(Error::from_raw_os_error(error));
+        // The system fails a call only once there is something to accept, which stays where it is.
+        if self.backlog.borrow().is_empty() || self.accepts.get().is_none() {
+            let next = self.backlog.borrow_mut().pop_front();
+            let (stream, quiet) = match next {
+                Some(waiting) => waiting,
+                None => Tcp.accept(listener).await?,
+            };
+            if self.accepts.get().is_none() {
+                return Ok((self.stream(stream), quiet));
+            }
+            self.backlog.borrow_mut().push_back((stream, quiet));
         }
-        let (stream, quiet) = Tcp.accept(listener).await?;
-        Ok((self.stream(stream), quiet))
+        Err(Error::from_raw_os_error(self.accepts.get().unwrap_or(0)))
     }
 
     async fn connect(&self, address: SocketAddr) -> io::Result<(Self::Opened, Quiet)> {
-        if let Some(error) = *self.connects.borrow() {
+        if let Some(error) = self.connects.get() {
             return Err(Error::from_raw_os_error(error));
         }
         let (stream, quiet) = Tcp.connect(address).await?;
