Count what a request waited before it was read; make interrupted calls again

Cause, time told too long: Listener::flow handed on Request-Timeout as it stood, and Host::take_in counts it from the reading.

Cause, requests lost: Client::departed and hyper take any error of a read for the client's departure, EINTR too, and the request's guard calls it off.

Ruled out: the module's patience (deadline minus now, with 20 ms kept back) and the write (told and last byte within a millisecond in the event log); for the lost ones the shim breaks no connection that a client opened.

Change: accepting.rs knows when nothing was left to accept, so when a connection may have come at the earliest; where bytes wait as it gets its place, that wait is taken off the first request's time. uninterrupted.rs makes calls on every stream again after EINTR, and the look whether one is quiet too. An error of one connection alone (ECONNABORTED, EINTR) makes accepting rest no more, up to 16 in a row.

--- /dev/null
+++ b/crates/transport/src/accepting.rs
@@ -0,0 +1,72 @@
+//! Accepting: what is known of how long a connection has waited for it, and which errors want a pause.
+
+use super::network::{Network, Quiet};
+use std::cell::Cell;
+use std::future::{poll_fn, Future};
+use std::io::{self, ErrorKind};
+use std::pin::pin;
+
+/// Errors of single connections in a row after which accepting rests all the same: against a busy loop.
+const MOST_IN_A_ROW: u32 = 16;
+
+/// A connection that was accepted.
+pub(super) struct Accepted<S> {
+    /// The client's stream.
+    pub stream: S,
+    /// Tells whether nothing waits to be read on it.
+    pub quiet: Quiet,
+    /// The earliest moment at which the client may have connected (ms): all that came before had been accepted then.
+    /// What it sent may have waited since.
+    pub came: f64,
+}
+
+/// Accepts connections, and keeps in mind when none was left to be accepted.
+#[derive(Debug)]
+pub(super) struct Acceptor {
+    /// Whether all that clients have connected is accepted, and the next one is awaited.
+    awaiting: Cell<bool>,
+    /// When a connection, or an error in its place, last came to an acceptor that was waiting for it (ms).
+    caught_up: Cell<f64>,
+    /// Errors in a row.
+    errors: Cell<u32>,
+}
+
+impl Acceptor {
+    pub fn new(now: f64) -> Acceptor {
+        Acceptor { awaiting: Cell::new(false), caught_up: Cell::new(now), errors: Cell::new(0) }
+    }
+
+    /// Whether the next connection is awaited with none left.
+    pub fn awaits(&self) -> bool {
+        self.awaiting.get()
+    }
+
+    /// Waits for the next connection.
+    pub async fn accept<N: Network>(
+        &self,
+        network: &N,
+        socket: &N::Listener,
+        now: impl Fn() -> f64,
+    ) -> io::Result<Accepted<N::Accepted>> {
+        let mut accept = pin!(network.accept(socket));
+        let accepted = poll_fn(|cx| {
+            let polled = accept.as_mut().poll(cx);
+            self.awaiting.set(polled.is_pending());
+            if polled.is_pending() {
+                // What comes from here on is met at once.
+                self.caught_up.set(f64::INFINITY);
+            }
+            polled
+        })
+        .await;
+        self.caught_up.set(self.caught_up.get().min(now()));
+        self.errors.set(if accepted.is_ok() { 0 } else { self.errors.get() + 1 });
+        accepted.map(|(stream, quiet)| Accepted { stream, quiet, came: self.caught_up.get() })
+    }
+
+    /// Whether to rest after an error: one of that connection alone says nothing of the next.
+    pub fn rests_after(&self, error: &io::Error) -> bool {
+        let of_one = matches!(error.kind(), ErrorKind::Interrupted | ErrorKind::ConnectionAborted);
+        !of_one || self.errors.get() % MOST_IN_A_ROW == 0
+    }
+}
--- a/crates/transport/src/lib.rs
+++ b/crates/transport/src/lib.rs
@@ -6,6 +6,7 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
+mod accepting;
 pub mod budget;
 mod client;
 pub mod connection;
@@ -17,6 +18,7 @@
 pub mod network;
 pub mod pool;
 mod tap;
+mod uninterrupted;
 
 pub use gateway::{connect, Gateway, Traffic};
 
--- a/crates/transport/src/listener.rs
+++ b/crates/transport/src/listener.rs
@@ -1,11 +1,13 @@
 //! The listener: the application's connections and the requests on them.
 
+use super::accepting::{Accepted, Acceptor};
 use super::budget::{Budget, Permit};
 use super::client::Client;
 use super::gateway::{count, Gateway};
 use super::head::{Framing, Incoming, Watch};
 use super::network::{Network, Quiet};
 use super::tap::Tapped;
+use super::uninterrupted::Uninterrupted;
 use super::{length, Task};
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming as Body;
@@ -64,6 +66,8 @@
 struct Seat {
     /// Since when it has had nothing to do; `None` while a request is on it.
     idle_since: Cell<Option<f64>>,
+    /// How long what came on it first may have waited to be read (ms): that much of its client's time is gone.
+    waited: Cell<f64>,
     /// Whether a whole head has come on it yet.
     asked: Cell<bool>,
     /// What comes in.
@@ -117,8 +121,7 @@
     freed: Notify,
     phase: Cell<Phase>,
     accepted_at: Cell<f64>,
-    /// Whether all that clients have connected is accepted, and the next one is awaited.
-    awaiting: Cell<bool>,
+    acceptor: Acceptor,
     /// Prints the counters.
     counters: Rc<dyn Fn() -> String>,
 }
@@ -127,6 +130,7 @@
     /// A listener for this gateway's clients.
     pub fn new(gateway: Rc<Gateway<N>>, budget: Budget, counters: Rc<dyn Fn() -> String>) -> Rc<Listener<N>> {
         let accepted_at = Cell::new(gateway.now());
+        let acceptor = Acceptor::new(gateway.now());
         Rc::new(Listener {
             gateway,
             budget,
@@ -135,7 +139,7 @@
             freed: Notify::new(),
             phase: Cell::new(Phase::Open),
             accepted_at,
-            awaiting: Cell::new(false),
+            acceptor,
             counters,
         })
     }
@@ -144,37 +148,41 @@
     pub async fn run(self: Rc<Self>, socket: N::Listener) {
         let _limits: Task = tokio::task::spawn_local(self.clone().keep_limits()).into();
         loop {
-            self.awaiting.set(true);
-            let accepted = self.gateway.network().accept(&socket).await;
-            self.awaiting.set(false);
+            let accepted = self.acceptor.accept(self.gateway.network(), &socket, || self.gateway.now()).await;
             match accepted {
-                Ok((stream, quiet)) => {
-                    count(&self.gateway.traffic.accepted);
-                    self.accepted_at.set(self.gateway.now());
-                    // Only now: room made for a client that never comes would cost another its connection.
-                    let permit = self.room().await;
-                    let number = self.last.get() + 1;
-                    self.last.set(number);
-                    let seat = Rc::new(Seat::default());
-                    seat.idle_since.set(Some(self.gateway.now()));
-                    self.seats.borrow_mut().insert(number, seat.clone());
-                    let listener = self.clone();
-                    tokio::task::spawn_local(async move {
-                        listener.serve(&seat, stream, quiet).await;
-                        listener.seats.borrow_mut().remove(&number);
-                        drop(permit);
-                        listener.freed.notify_one();
-                    });
-                }
+                Ok(accepted) => self.clone().seat(accepted).await,
                 // Descriptors may be out, or the client has left again: neither ends the listener.
-                Err(_) => {
+                Err(e) => {
                     count(&self.gateway.traffic.accept_errors);
-                    tokio::time::sleep(length(ACCEPT_REST)).await;
+                    if self.acceptor.rests_after(&e) {
+                        tokio::time::sleep(length(ACCEPT_REST)).await;
+                    }
                 }
             }
         }
     }
 
+    /// Waits for a place for a connection, and serves it there.
+    async fn seat(self: Rc<Self>, accepted: Accepted<N::Accepted>) {
+        count(&self.gateway.traffic.accepted);
+        self.accepted_at.set(self.gateway.now());
+        // Only now: room made for a client that never comes would cost another its connection.
+        let permit = self.room().await;
+        let number = self.last.get() + 1;
+        self.last.set(number);
+        let (seat, now) = (Rc::new(Seat::default()), self.gateway.now());
+        seat.idle_since.set(Some(now));
+        // What is there already may have been sent as soon as the client connected.
+        seat.waited.set(if (accepted.quiet)() { 0.0 } else { (now - accepted.came).max(0.0) });
+        self.seats.borrow_mut().insert(number, seat.clone());
+        tokio::task::spawn_local(async move {
+            self.serve(&seat, accepted.stream, accepted.quiet).await;
+            self.seats.borrow_mut().remove(&number);
+            drop(permit);
+            self.freed.notify_one();
+        });
+    }
+
     /// A place for one more connection; where all are taken, the one idle longest makes room.
     async fn room(&self) -> Permit {
         loop {
@@ -233,7 +241,7 @@
 
     async fn serve(self: &Rc<Self>, seat: &Rc<Seat>, stream: N::Accepted, quiet: Quiet) {
         let watch = Watch { incoming: seat.incoming.clone(), now: self.gateway.clock(), limit: HEAD_LIMIT };
-        let mut client = Client::new(stream);
+        let mut client = Client::new(Uninterrupted(stream));
         let stream = Tapped::new(client.clone(), watch);
         let service = service_fn(|request| self.clone().handle(seat.clone(), request));
         let connection = http1::Builder::new()
@@ -315,7 +323,9 @@
     async fn flow(&self, came: f64, request: Request<Body>, seat: &Seat) -> Result<Reply, Malformed> {
         let too_large = Malformed { status: StatusCode::PAYLOAD_TOO_LARGE, reason: "the body is too large" };
         let (parts, body) = request.into_parts();
-        let new = self.gateway.classes.read(&parts)?;
+        let mut new = self.gateway.classes.read(&parts)?;
+        // The client's time counts from its sending.
+        new.time_left -= seat.waited.take();
         if oversized(&parts.headers) {
             return Err(too_large);
         }
@@ -354,7 +364,7 @@
 
     /// Whether nothing is left to do: no connection, none that waits for a place, and none for this long (ms).
     pub fn quiet_for(&self, millis: f64) -> bool {
-        let none = self.awaiting.get() && self.seats.borrow().is_empty();
+        let none = self.acceptor.awaits() && self.seats.borrow().is_empty();
         none && self.gateway.now() - self.accepted_at.get() >= millis
     }
 }
--- a/crates/transport/src/network.rs
+++ b/crates/transport/src/network.rs
@@ -66,9 +66,12 @@
 fn shared(stream: TcpStream) -> (Shared, Quiet) {
     let stream = Rc::new(stream);
     let peeked = stream.clone();
-    let quiet = Box::new(move || {
+    let quiet = Box::new(move || loop {
         let peek = SockRef::from(&*peeked).peek(&mut [MaybeUninit::uninit()]);
-        peek.is_err_and(|e| e.kind() == ErrorKind::WouldBlock)
+        match peek {
+            Err(e) if e.kind() == ErrorKind::Interrupted => {}
+            peek => return peek.is_err_and(|e| e.kind() == ErrorKind::WouldBlock),
+        }
     });
     (Shared(stream), quiet)
 }
