--- a/crates/roseproxy/tests/common/mod.rs
+++ b/crates/roseproxy/tests/common/mod.rs
@@ -17,6 +17,7 @@
 use roseproxy_transport::pool::REST;
 use roseproxy_transport::Gateway;
 use serde_json::{json, Value};
+use std::cell::Cell;
 use std::future::Future;
 use std::io;
 use std::net::SocketAddr;
@@ -267,3 +268,33 @@
 pub async fn chunk<S: AsyncWrite + Unpin>(stream: &mut S, text: &str) -> io::Result<()> {
     stream.write_all(format!("{:x}\r\n{text}\r\n", text.len()).as_bytes()).await
 }
+
+/// A configuration with aims that answers keep, so that nothing is refused.
+pub fn quick() -> Config {
+    config_with(|s| {
+        for class in s["request_classes"].as_array_mut().expect("classes") {
+            class["aim"] = json!(100_000);
+        }
+    })
+}
+
+/// Answers whatever comes, and counts the requests.
+pub fn count_requests(socket: TcpListener) -> Rc<Cell<usize>> {
+    let count = Rc::new(Cell::new(0));
+    let counted = count.clone();
+    spawn_local(async move {
+        loop {
+            let (mut stream, _) = socket.accept().await.expect("the sidecar connects");
+            let counted = counted.clone();
+            spawn_local(async move {
+                while let Some(request) = message(&mut stream).await {
+                    counted.set(counted.get() + usize::from(request.contains("request-id")));
+                    if stream.write_all(OK.as_bytes()).await.is_err() {
+                        return;
+                    }
+                }
+            });
+        }
+    });
+    count
+}
--- a/crates/roseproxy/tests/system_calls.rs
+++ b/crates/roseproxy/tests/system_calls.rs
@@ -4,8 +4,7 @@
 
 use common::faulty::{Faulty, ENFILE};
 use common::*;
-use roseproxy::{config::Config, Clock};
-use serde_json::json;
+use roseproxy::Clock;
 use std::time::Duration;
 use tokio::net::TcpStream;
 use tokio::task::spawn_local;
@@ -14,15 +13,6 @@
 const TIMEOUT: f64 = 2_000.0;
 const SLACK: f64 = 150.0;
 
-/// A configuration by which answers within that time are expected.
-fn quick() -> Config {
-    config_with(|s| {
-        for class in s["request_classes"].as_array_mut().expect("classes") {
-            class["aim"] = json!(100_000);
-        }
-    })
-}
-
 /// A request with that time, of a class that is sent once: its attempt gets all of it.
 fn hasty(id: &str) -> String {
     request("place-order", id, "b")
