Place the starts of endpoints on the program's clock; try an unreadable configuration again

Cause, wall clock: Clock::system() reads the wall clock once, and member() in platform/discovery.rs hands on up_since_ms as it stands; learn::warmth takes one from the other. After a step back a new endpoint is an hour old and warm, after a step forward it starts an hour from now and stays cold that long.

Cause, reload: Reload::take gave up at any error, one of opening the file too, and nobody sends SIGHUP twice. The old discovery is gone 1.5 s later, and drains are never heard of.

Ruled out: deadlines, windows, waits and graces go by the monotonic clock already (Clock counts on from one reading, tokio's timers).

Change: start_times.rs places each start once; where the program's clock and the wall clock disagree the endpoint counts as the younger, and a start that discovery would have told of within 6 s of the last list, and did not, is a new one. ConfigError tells a file that cannot be read from a faulty one; the former is tried again after 50 ms, 100 ms up to 1 s, 40 times at most. The test of faulty files reads what Reload::take says from Taken now, and asserts besides that a faulty one is not tried again.

--- a/crates/lab/src/in_process.rs
+++ b/crates/lab/src/in_process.rs
@@ -80,7 +80,7 @@
         let around = Surroundings { network, clock, say, decider, print_events: false };
         let read = {
             let file = file.clone();
-            move || Config::read(&file.borrow().to_string(), |_| None)
+            move || Ok(Config::read(&file.borrow().to_string(), |_| None)?)
         };
         let task = spawn_local(async move {
             // A set of its own: when this task is dropped, all that the sidecar had begun goes with it.
--- a/crates/roseproxy/src/clock.rs
+++ b/crates/roseproxy/src/clock.rs
@@ -17,6 +17,13 @@
         /// What the system's clock said then.
         epoch: f64,
     },
+    /// One of a world of its own, where the runtime's time is set.
+    Simulated {
+        /// When it was started.
+        origin: Instant,
+        /// What it said then.
+        epoch: f64,
+    },
     /// One that stands until it is set.
     Manual(Rc<Cell<f64>>),
 }
@@ -24,13 +31,12 @@
 impl Clock {
     /// A running clock.
     pub fn system() -> Clock {
-        let epoch = SystemTime::now().duration_since(UNIX_EPOCH).map_or(0.0, |d| d.as_secs_f64() * 1000.0);
-        Clock::System { origin: Instant::now(), epoch }
+        Clock::System { origin: Instant::now(), epoch: wall_clock() }
     }
 
     /// A running clock that begins at this time: of a world of its own, where the runtime's time is set.
     pub fn from(epoch: f64) -> Clock {
-        Clock::System { origin: Instant::now(), epoch }
+        Clock::Simulated { origin: Instant::now(), epoch }
     }
 
     /// A clock that stands at this time.
@@ -41,11 +47,21 @@
     /// The time.
     pub fn now(&self) -> f64 {
         match self {
-            Clock::System { origin, epoch } => epoch + origin.elapsed().as_secs_f64() * 1000.0,
+            Clock::System { origin, epoch } | Clock::Simulated { origin, epoch } => {
+                epoch + origin.elapsed().as_secs_f64() * 1000.0
+            }
             Clock::Manual(at) => at.get(),
         }
     }
 
+    /// What the system's wall clock says, which may be stepped; of other clocks, the time.
+    pub fn wall(&self) -> f64 {
+        match self {
+            Clock::System { .. } => wall_clock(),
+            Clock::Simulated { .. } | Clock::Manual(_) => self.now(),
+        }
+    }
+
     /// Sets a clock that stands; a running one goes its own way.
     pub fn set(&self, millis: f64) {
         if let Clock::Manual(at) = self {
@@ -58,4 +74,15 @@
         let clock = self.clone();
         Rc::new(move || clock.now())
     }
+
+    /// What the lower layers read the wall clock by.
+    pub fn wall_reader(&self) -> Now {
+        let clock = self.clone();
+        Rc::new(move || clock.wall())
+    }
+}
+
+/// Milliseconds since the Unix epoch by the system's wall clock.
+fn wall_clock() -> f64 {
+    SystemTime::now().duration_since(UNIX_EPOCH).map_or(0.0, |d| d.as_secs_f64() * 1000.0)
 }
--- a/crates/roseproxy/src/config.rs
+++ b/crates/roseproxy/src/config.rs
@@ -4,6 +4,8 @@
 use roseproxy_platform::discovery::{self, Listing};
 use roseproxy_platform::wire::{read_settings, Dialect};
 use serde_json::Value;
+use std::fmt;
+use std::io;
 use std::net::SocketAddr;
 
 /// Fewest sockets that serving works with.
@@ -34,13 +36,50 @@
     pub file: Value,
 }
 
+/// Why there is no configuration.
+#[derive(Debug)]
+pub enum ConfigError {
+    /// The file could not be opened or read, which may be different in a moment.
+    Unreadable {
+        /// Its path.
+        path: String,
+        /// Why.
+        error: io::Error,
+    },
+    /// What it says is missing or wrong; names the key.
+    Faulty(String),
+}
+
+impl fmt::Display for ConfigError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            ConfigError::Unreadable { path, error } => write!(f, "LB_CONFIG: {path}: {error}"),
+            ConfigError::Faulty(reason) => f.write_str(reason),
+        }
+    }
+}
+
+impl From<String> for ConfigError {
+    fn from(reason: String) -> ConfigError {
+        ConfigError::Faulty(reason)
+    }
+}
+
+impl From<&str> for ConfigError {
+    fn from(reason: &str) -> ConfigError {
+        ConfigError::Faulty(reason.to_owned())
+    }
+}
+
 impl Config {
     /// Reads the file that `LB_CONFIG` names; `LB_NAME`, `LB_LISTEN` and `LB_DISCOVERY` stand in for
     /// keys that it lacks.
-    pub fn load(variable: impl Fn(&str) -> Option<String>) -> Result<Config, String> {
+    pub fn load(variable: impl Fn(&str) -> Option<String>) -> Result<Config, ConfigError> {
         let path = variable("LB_CONFIG").ok_or("LB_CONFIG is not set")?;
-        let text = std::fs::read_to_string(&path).map_err(|e| format!("LB_CONFIG: {path}: {e}"))?;
-        Config::read(&text, variable)
+        match std::fs::read_to_string(&path) {
+            Ok(text) => Ok(Config::read(&text, variable)?),
+            Err(error) => Err(ConfigError::Unreadable { path, error }),
+        }
     }
 
     /// Reads a configuration's text.
--- a/crates/roseproxy/src/reload.rs
+++ b/crates/roseproxy/src/reload.rs
@@ -1,6 +1,6 @@
 //! Takes over a configuration that was replaced while the program runs.
 
-use super::config::Config;
+use super::config::{Config, ConfigError};
 use std::cell::Cell;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -25,6 +25,20 @@
     }
 }
 
+/// How long until a file is tried again that could not be read (ms): at first, and at most.
+const RETRY: (f64, f64) = (50.0, 1_000.0);
+/// How often in a row it is tried.
+const MOST_TRIES: u32 = 40;
+
+/// What came of a configuration that was read.
+#[derive(Debug, PartialEq)]
+pub struct Taken {
+    /// A line for the log, where there is something to say.
+    pub said: Option<String>,
+    /// When the file is to be read again (ms from now), as it could not be.
+    pub again_in: Option<f64>,
+}
+
 /// Moves the running program from one configuration to the next. Flows, connections, the list in hand
 /// and all that was learnt stay as they are: only the watch on discovery moves.
 #[derive(Debug)]
@@ -32,6 +46,8 @@
     in_force: Config,
     discovery: watch::Sender<SocketAddr>,
     counts: Rc<Reloads>,
+    /// How often in a row the file could not be read.
+    unreadable: u32,
 }
 
 impl Reload {
@@ -39,7 +55,7 @@
     /// the receiver.
     pub fn new(in_force: Config) -> (Reload, watch::Receiver<SocketAddr>) {
         let (discovery, receiver) = watch::channel(in_force.discovery);
-        (Reload { in_force, discovery, counts: Rc::default() }, receiver)
+        (Reload { in_force, discovery, counts: Rc::default(), unreadable: 0 }, receiver)
     }
 
     /// What it counts.
@@ -52,16 +68,29 @@
         &self.in_force
     }
 
-    /// Takes over what was read, whole or not at all; says what came of it, in a line for the log.
-    pub fn take(&mut self, read: Result<Config, String>) -> String {
-        let next = match read {
-            Ok(next) => next,
+    /// Takes over what was read, whole or not at all. A file that could not be read is to be tried again: it was
+    /// replaced, and nobody will say so once more.
+    pub fn take(&mut self, read: Result<Config, ConfigError>) -> Taken {
+        let tries = std::mem::take(&mut self.unreadable);
+        match read {
+            Ok(next) => Taken { said: Some(self.take_over(next)), again_in: None },
+            Err(reason @ ConfigError::Unreadable { .. }) if tries + 1 < MOST_TRIES => {
+                self.unreadable = tries + 1;
+                let said =
+                    (tries == 0).then(|| format!("configuration cannot be read, is tried again: {reason}"));
+                let pause = RETRY.0 * f64::from(1 << tries.min(8));
+                Taken { said, again_in: Some(pause.min(RETRY.1)) }
+            }
             Err(reason) => {
                 // A file half replaced or mistyped must not end what serves: the old one stays.
                 self.counts.faulty.set(self.counts.faulty.get() + 1);
-                return format!("configuration not taken over, the one before stays: {reason}");
+                let said = format!("configuration not taken over, the one before stays: {reason}");
+                Taken { said: Some(said), again_in: None }
             }
-        };
+        }
+    }
+
+    fn take_over(&mut self, next: Config) -> String {
         self.counts.taken.set(self.counts.taken.get() + 1);
         let moved = self
             .discovery
--- a/crates/roseproxy/src/start.rs
+++ b/crates/roseproxy/src/start.rs
@@ -1,6 +1,6 @@
 //! Start-up: joins the layers, serves until SIGTERM, and then drains.
 
-use super::config::Config;
+use super::config::{Config, ConfigError};
 use super::reload::Reload;
 use super::signals::{Asked, Asking};
 use super::{counters, shutdown, Clock};
@@ -13,6 +13,7 @@
 use roseproxy_transport::network::Network;
 use roseproxy_transport::Gateway;
 use std::rc::Rc;
+use std::time::Duration;
 use tokio::task::spawn_local;
 
 /// What stands round the program.
@@ -35,7 +36,7 @@
     config: Config,
     around: Surroundings<N>,
     mut asking: impl Asking,
-    read: impl Fn() -> Result<Config, String>,
+    read: impl Fn() -> Result<Config, ConfigError>,
 ) -> Result<String, String> {
     let Surroundings { network, clock, say, decider, print_events } = around;
     let socket = network.listen(config.listen).await;
@@ -48,6 +49,7 @@
     };
     let (clients, targets) = Budget::share(config.sockets);
     let gateway = Gateway::new(network, host, classes, targets, clock.reader());
+    gateway.set_wall_clock(clock.wall_reader());
     gateway.log_to(say.clone(), print_events);
     // The list as it was known last serves until discovery says more. Without one, the empty list
     // still sets the module asking.
@@ -65,8 +67,11 @@
     spawn_local(listener.clone().run(socket));
     say(&format!("{} listens at {}", reload.in_force().name, reload.in_force().listen));
 
-    while asking.next().await == Asked::Reload {
-        say(&reload.take(read()));
+    let mut again_in = None;
+    while next_asked(&mut asking, again_in).await == Asked::Reload {
+        let taken = reload.take(read());
+        taken.said.iter().for_each(|line| say(line));
+        again_in = taken.again_in;
     }
     let asked = clock.now();
     say(&format!("told to end, {} flows open", gateway.open_flows()));
@@ -75,3 +80,13 @@
     say(&format!("ends after {:.0} ms, {unfinished} flows failed for want of time", clock.now() - asked));
     Ok(counts())
 }
+
+/// Waits for what is asked next; a configuration that could not be read is asked for again by itself (ms from now).
+async fn next_asked(asking: &mut impl Asking, again_in: Option<f64>) -> Asked {
+    let Some(pause) = again_in else { return asking.next().await };
+    tokio::select! {
+        biased;
+        asked = asking.next() => asked,
+        () = tokio::time::sleep(Duration::from_secs_f64(pause / 1e3)) => Asked::Reload,
+    }
+}
--- a/crates/roseproxy/tests/common/mod.rs
+++ b/crates/roseproxy/tests/common/mod.rs
@@ -132,6 +132,7 @@
 ) -> Rc<Gateway<N>> {
     let classes = Classes::new(config.dialect, config.settings.classes.clone());
     let gateway = Gateway::new(network, host, classes, Budget::new(descriptors), clock.reader());
+    gateway.set_wall_clock(clock.wall_reader());
     let in_service: Vec<_> = endpoints.iter().map(|e| (*e, "in_service")).collect();
     let known = discovery::read(list(1, true, &in_service).as_bytes()).expect("a list");
     gateway.targets(Update::Complete, &known.targets);
--- a/crates/roseproxy/tests/protocol.rs
+++ b/crates/roseproxy/tests/protocol.rs
@@ -183,7 +183,7 @@
         let reason = read_config(&config).expect_err(path);
         assert!(reason.contains(key), "{path}: {reason}");
     }
-    assert!(Config::load(|_| None).expect_err("no file").contains("LB_CONFIG"));
+    assert!(Config::load(|_| None).expect_err("no file").to_string().contains("LB_CONFIG"));
     let mut lacking = config();
     lacking.as_object_mut().expect("an object").remove("listen");
     assert!(read_config(&lacking).expect_err("none").contains("LB_LISTEN"));
--- a/crates/roseproxy/tests/sockets.rs
+++ b/crates/roseproxy/tests/sockets.rs
@@ -3,6 +3,7 @@
 mod common;
 
 use common::*;
+use roseproxy::config::ConfigError;
 use roseproxy::{config::Config, reload::Reload, Clock};
 use roseproxy_platform::request::Outgoing;
 use roseproxy_transport::connect;
@@ -358,16 +359,21 @@
 fn a_faulty_configuration_changes_nothing_and_its_key_is_named() {
     let (mut reload, address) = Reload::new(config());
     let before = *address.borrow();
-    let faulty = |text: &str| Config::read(text, |_| None);
-    assert!(reload.take(faulty("{\"name\": ")).contains("not JSON"));
+    let faulty = |text: &str| Config::read(text, |_| None).map_err(ConfigError::from);
+    let mut say = |read| {
+        let taken = reload.take(read);
+        assert_eq!(taken.again_in, None, "what was read is not read again");
+        taken.said.expect("a line for the log")
+    };
+    assert!(say(faulty("{\"name\": ")).contains("not JSON"));
     let mut file = config().file;
     file["discovery"] = json!("nowhere");
-    assert!(reload.take(faulty(&file.to_string())).contains("discovery is not an address"));
+    assert!(say(faulty(&file.to_string())).contains("discovery is not an address"));
     assert!(!address.has_changed().expect("open") && *address.borrow() == before);
     // A good one that comes next is taken over, and what must wait is named.
     file["discovery"] = json!("127.0.0.1:10");
     file["listen"] = json!("127.0.0.1:11");
-    let said = reload.take(faulty(&file.to_string()));
+    let said = say(faulty(&file.to_string()));
     assert!(said.contains("moved to 127.0.0.1:10") && said.ends_with("next start: listen"), "{said}");
     assert!(address.has_changed().expect("open"));
     assert_eq!(reload.counts().lines().map(|(_, n)| n), [1, 2]);
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod relay;
 pub mod route;
 pub mod send;
+pub mod start_times;
 pub mod take_in;
 pub mod time;
 mod timers;
--- a/crates/soak/shim/faults.c
+++ b/crates/soak/shim/faults.c
@@ -114,20 +114,30 @@
     return real(fd, address, length);
 }
 
+/* Whether a call is interrupted. Sockets of the process to itself are spared: theirs never wait, so that Linux does not
+ * interrupt them, and the runtime's own wake-ups are not what is tested. */
+static int interrupted(int fd) {
+    int domain;
+    socklen_t length = sizeof domain;
+    if (control->interrupt.rate == 0 || getsockopt(fd, SOL_SOCKET, SO_DOMAIN, &domain, &length) != 0)
+        return 0;
+    return domain == AF_INET && strikes(&control->interrupt);
+}
+
 static size_t shortened(size_t length) {
     return control && length > 1 && strikes(&control->shorten) ? 1 + length / 3 : length;
 }
 
 ssize_t recv(int fd, void *buffer, size_t length, int flags) {
     CACHED(recv);
-    if (control && (strikes(&control->interrupt) || (!(flags & MSG_PEEK) && breaks(fd))))
+    if (control && (interrupted(fd) || (!(flags & MSG_PEEK) && breaks(fd))))
         return -1;
     return real(fd, buffer, flags & MSG_PEEK ? length : shortened(length), flags);
 }
 
 ssize_t send(int fd, const void *buffer, size_t length, int flags) {
     CACHED(send);
-    if (control && (strikes(&control->interrupt) || breaks(fd)))
+    if (control && (interrupted(fd) || breaks(fd)))
         return -1;
     return real(fd, buffer, shortened(length), flags);
 }
@@ -143,7 +153,7 @@
     if (control && fd == STDERR_FILENO && strikes(&control->log))
         return -1;
     if (control && is_socket(fd)) {
-        if (strikes(&control->interrupt) || breaks(fd))
+        if (interrupted(fd) || breaks(fd))
             return -1;
         if (count > 0 && parts[0].iov_len > 1 && strikes(&control->shorten)) {
             struct iovec part = {parts[0].iov_base, 1 + parts[0].iov_len / 3};
--- a/crates/transport/src/discovery.rs
+++ b/crates/transport/src/discovery.rs
@@ -135,16 +135,14 @@
     fn take(&mut self, text: &[u8]) {
         let traffic = &self.gateway.traffic;
         match discovery::read(text) {
-            Ok(Listing { revision, update, mut targets, unread }) => {
+            Ok(Listing { revision, update, targets, unread }) => {
                 traffic.bad_lists.set(traffic.bad_lists.get() + unread as u64);
                 // One that is behind the list in hand may be older than the word of a drain. It may also come from a
                 // discovery that counts anew, so that it is taken for all the rest.
-                if revision < self.last {
-                    self.gateway.keep_leaving(&mut targets);
-                }
+                let behind = revision < self.last;
                 (self.revision, self.last) = (Some(revision), revision);
                 self.gateway.set_revision(revision);
-                self.gateway.targets(update, &targets);
+                self.gateway.listed(update, targets, behind);
             }
             Err(reason) => {
                 count(&traffic.bad_lists);
--- a/crates/transport/src/gateway.rs
+++ b/crates/transport/src/gateway.rs
@@ -14,6 +14,7 @@
 use roseproxy_routing::event_log::{shortened, CloseReason, EventKind, Sink, CLOSES};
 use roseproxy_routing::flow::{Answer, FlowId, ForwardEnd, ForwardId, NewFlow, Order, ProbeEnd, Target};
 use roseproxy_routing::invariants::Violation;
+use roseproxy_routing::start_times::{Clocks, Source, StartTimes};
 use roseproxy_routing::time::{to_millis, Now};
 use roseproxy_routing::Host;
 use std::cell::{Cell, RefCell};
@@ -96,6 +97,10 @@
     watch: Notify,
     /// Revision of the list in hand; 0 before any.
     revision: Cell<u64>,
+    /// When endpoints started, on the program's clock.
+    starts: RefCell<StartTimes>,
+    /// The wall clock; where there is none, the program's clock stands for it.
+    wall: RefCell<Option<Now>>,
 }
 
 impl<N: Network> Gateway<N> {
@@ -120,6 +125,8 @@
             watch_wish: Cell::new(false),
             watch: Notify::new(),
             revision: Cell::new(0),
+            starts: RefCell::default(),
+            wall: RefCell::default(),
         })
     }
 
@@ -175,9 +182,30 @@
         }
     }
 
-    /// News of the target group.
+    /// Has starts in wall-clock time held against this clock, too.
+    pub fn set_wall_clock(&self, wall: Now) {
+        *self.wall.borrow_mut() = Some(wall);
+    }
+
+    /// A list of the target group that was kept from before.
     pub fn targets(self: &Rc<Self>, update: Update, targets: &[Target]) {
-        self.host.borrow_mut().targets(self.now(), update, targets);
+        self.take_list(Source::Kept, update, targets.to_vec(), false);
+    }
+
+    /// A list that discovery has told. In one that is behind the list in hand, who leaves is not taken back into
+    /// service by it.
+    pub(super) fn listed(self: &Rc<Self>, update: Update, targets: Vec<Target>, behind: bool) {
+        self.take_list(Source::Discovery, update, targets, behind);
+    }
+
+    fn take_list(self: &Rc<Self>, source: Source, update: Update, mut targets: Vec<Target>, behind: bool) {
+        let program = self.now();
+        let wall = self.wall.borrow().as_ref().map_or(program, |wall| wall());
+        self.starts.borrow_mut().place(Clocks { program, wall }, source, update, &mut targets);
+        if behind {
+            self.host.borrow().keep_leaving(&mut targets);
+        }
+        self.host.borrow_mut().targets(program, update, &targets);
         self.settle();
     }
 
@@ -186,11 +214,6 @@
         self.revision.set(revision);
     }
 
-    /// In a list that may be older than the one in hand: who leaves is not taken back into service by it.
-    pub(super) fn keep_leaving(&self, targets: &mut [Target]) {
-        self.host.borrow().keep_leaving(targets);
-    }
-
     /// Discovery failed.
     pub fn targets_failed(self: &Rc<Self>) {
         self.host.borrow_mut().targets_failed(self.now());
