Bound the writing of attempts and answers; tell connects that fail here from those that fail there

Cause, late reader: the head of an attempt is written with the time that is left then, and nothing bounded how long its last byte may take; an endpoint that reads on later is told of more than the client has left. Cause, held place: Listener::ends lets no connection go while an answer waits to be written, and nothing else ends it. Cause, failing connects: transport::connect threw the error away, so that ENFILE, ENOBUFS and EADDRNOTAVAIL here made every endpoint unreachable, at once and in a row: all suspect, requests refused.

Change: the guard lets an attempt be written for 100 ms, then it is broken off and has never run.

--- a/crates/routing/src/event_log.rs
+++ b/crates/routing/src/event_log.rs
@@ -53,16 +53,19 @@
     Late,
     /// Its place was wanted, or the process ends.
     Shutdown,
+    /// Its client did not read its answer.
+    Stalled,
 }
 
 /// All reasons of closes with the names that they are counted under.
-pub const CLOSES: [(CloseReason, &str); 6] = [
+pub const CLOSES: [(CloseReason, &str); 7] = [
     (CloseReason::Client, "client"),
     (CloseReason::Departed, "departed"),
     (CloseReason::Answered, "answered"),
     (CloseReason::Idle, "idle"),
     (CloseReason::Late, "late"),
     (CloseReason::Shutdown, "shutdown"),
+    (CloseReason::Stalled, "stalled"),
 ];
 
 /// What happened.
--- a/crates/routing/src/guard.rs
+++ b/crates/routing/src/guard.rs
@@ -50,10 +50,14 @@
     }
 }
 
+/// How long the writing of an attempt may take (ms): the time that its head tells the endpoint holds only so long, with
+/// room for a process that is held up in between.
+const WRITE_WITHIN: f64 = 100.0;
+
 /// Leave to write an attempt.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct WritePermit {
-    /// By when its last byte must be out (ms), infinity where there is no hurry: it is broken off else.
+    /// By when its last byte must be out (ms): it is broken off else.
     pub whole_by: f64,
 }
 
@@ -91,7 +95,7 @@
         if now >= whole_by {
             return Err(Withheld::WindowOver);
         }
-        Ok(WritePermit { whole_by })
+        Ok(WritePermit { whole_by: whole_by.min(now + WRITE_WITHIN) })
     }
 
     /// Whether an endpoint may be sent something new. Word of its drain may have come between a decision
--- a/crates/transport/src/client.rs
+++ b/crates/transport/src/client.rs
@@ -4,6 +4,7 @@
 //! something behind its request and leaves would not be missed until its answer is written.
 
 use super::head::Incoming;
+use roseproxy_routing::time::Now;
 use std::cell::{Cell, RefCell};
 use std::future::poll_fn;
 use std::io::{self, IoSlice};
@@ -17,31 +18,32 @@
 const TURNS: usize = 16;
 
 /// The stream. All who hold it are polled by one task, so that whoever waits last wakes all of them.
-#[derive(Debug)]
 pub(super) struct Client<S> {
     stream: Rc<RefCell<S>>,
-    /// Whether something that is to be written waits for the client to read.
-    blocked: Rc<Cell<bool>>,
+    /// Since when something that is to be written waits for the client to read (ms).
+    blocked_since: Rc<Cell<Option<f64>>>,
+    now: Now,
 }
 
 impl<S> Clone for Client<S> {
     fn clone(&self) -> Self {
-        Client { stream: self.stream.clone(), blocked: self.blocked.clone() }
+        Client {
+            stream: self.stream.clone(),
+            blocked_since: self.blocked_since.clone(),
+            now: self.now.clone(),
+        }
     }
 }
 
 impl<S> Client<S> {
-    pub fn new(stream: S) -> Client<S> {
-        Client { stream: Rc::new(RefCell::new(stream)), blocked: Rc::default() }
-    }
-
-    /// Whether something that is to be written waits: an answer given is not yet an answer sent.
-    pub fn blocked(&self) -> bool {
-        self.blocked.get()
+    /// The stream; `blocked_since` is told since when something waits to be written.
+    pub fn new(stream: S, blocked_since: Rc<Cell<Option<f64>>>, now: Now) -> Client<S> {
+        Client { stream: Rc::new(RefCell::new(stream)), blocked_since, now }
     }
 
     fn wrote(&self, written: Poll<io::Result<usize>>) -> Poll<io::Result<usize>> {
-        self.blocked.set(written.is_pending());
+        let since = written.is_pending().then(|| self.blocked_since.get().unwrap_or_else(|| (self.now)()));
+        self.blocked_since.set(since);
         written
     }
 }
--- a/crates/transport/src/discovery.rs
+++ b/crates/transport/src/discovery.rs
@@ -1,6 +1,7 @@
 //! The watch on discovery.
 
-use super::gateway::{connect, count, Gateway};
+use super::connecting::connect;
+use super::gateway::{count, Gateway};
 use super::length;
 use super::network::Network;
 use crate::connection::Exchange;
@@ -88,7 +89,7 @@
     /// Follows the list until that fails.
     async fn watch(&mut self, address: SocketAddr) -> Option<Silent> {
         let host = address.to_string();
-        let mut connection = connect(self.gateway.network(), address, CONNECT).await?;
+        let mut connection = connect(self.gateway.network(), address, CONNECT).await.ok()?;
         if self.revision.is_none() {
             let fetch = connection.exchange_up_to(Outgoing::get(discovery::LIST, &host), LONGEST_LIST);
             match tokio::time::timeout(length(ANSWER), fetch).await.ok()? {
--- a/crates/transport/src/gateway.rs
+++ b/crates/transport/src/gateway.rs
@@ -1,7 +1,8 @@
 //! The joint between routing and the sockets.
 
 use super::budget::Budget;
-use super::connection::{Connection, Exchange};
+use super::connecting::{connect, ConnectError};
+use super::connection::Exchange;
 use super::meter::Milestone;
 use super::network::Network;
 use super::pool::{Line, Pool};
@@ -51,6 +52,8 @@
     pub reused: Cell<u64>,
     /// Connections to targets that did not come up.
     pub unreachable: Cell<u64>,
+    /// Connects that failed for want of descriptors, memory or ports of this machine.
+    pub connects_failed_here: Cell<u64>,
     /// Reports that could not be read.
     pub bad_reports: Cell<u64>,
     /// Discovery lines and entries that could not be read.
@@ -304,6 +307,7 @@
             ("targets_connected", t.opened.get()),
             ("targets_reused", t.reused.get()),
             ("targets_unreachable", t.unreachable.get()),
+            ("connects_failed_here", t.connects_failed_here.get()),
             ("reports_unread", t.bad_reports.get()),
             ("lists_unread", t.bad_lists.get()),
             ("discovery_revision", self.revision.get()),
@@ -495,10 +499,13 @@
             count(&self.traffic.spent);
             return Err(Outcome::NotSent);
         };
-        let connection = connect(&self.network, address, within.min(self.connect_timeout)).await;
-        count(if connection.is_some() { &self.traffic.opened } else { &self.traffic.unreachable });
-        let connection = connection.ok_or(Outcome::Unreachable)?;
-        Ok(Line { connection, address, permit })
+        let (counter, line) = match connect(&self.network, address, within.min(self.connect_timeout)).await {
+            Ok(connection) => (&self.traffic.opened, Ok(Line { connection, address, permit })),
+            Err(ConnectError::There) => (&self.traffic.unreachable, Err(Outcome::Unreachable)),
+            Err(ConnectError::Here) => (&self.traffic.connects_failed_here, Err(Outcome::NotSent)),
+        };
+        count(counter);
+        line
     }
 
     /// Puts a connection back once it is ready for the next request.
@@ -519,12 +526,3 @@
         false => std::future::pending().await,
     }
 }
-
-/// Opens a connection, within a time.
-pub async fn connect<N: Network>(network: &N, address: SocketAddr, within: f64) -> Option<Connection> {
-    let open = async {
-        let (stream, quiet) = network.connect(address).await.ok()?;
-        Connection::start(stream, quiet).await.ok()
-    };
-    tokio::time::timeout(length(within), open).await.ok().flatten()
-}
--- a/crates/transport/src/lib.rs
+++ b/crates/transport/src/lib.rs
@@ -9,6 +9,7 @@
 mod accepting;
 pub mod budget;
 mod client;
+pub mod connecting;
 pub mod connection;
 pub mod discovery;
 mod gateway;
@@ -20,7 +21,8 @@
 mod tap;
 mod uninterrupted;
 
-pub use gateway::{connect, Gateway, Traffic};
+pub use connecting::connect;
+pub use gateway::{Gateway, Traffic};
 
 use tokio::task::{AbortHandle, JoinHandle};
 
--- a/crates/transport/src/listener.rs
+++ b/crates/transport/src/listener.rs
@@ -43,6 +43,9 @@
 const FIRST: f64 = 300.0;
 /// How long what a client still sends is read behind the last answer (ms).
 const LINGER: f64 = 300.0;
+/// How long a client may take nothing of an answer (ms): then it holds its place for nothing. It can tell that the
+/// answer is not whole.
+const ANSWER_STALL: f64 = 5_000.0;
 /// How often all that is looked at (ms).
 const LOOK: f64 = 100.0;
 /// Longest head that is read; a larger one gets a 431.
@@ -66,6 +69,8 @@
 struct Seat {
     /// Since when it has had nothing to do; `None` while a request is on it.
     idle_since: Cell<Option<f64>>,
+    /// Since when an answer waits to be written (ms): an answer given is not yet an answer sent.
+    blocked_since: Rc<Cell<Option<f64>>>,
     /// How long what came on it first may have waited to be read (ms): that much of its client's time is gone.
     waited: Cell<f64>,
     /// Whether a whole head has come on it yet.
@@ -98,6 +103,11 @@
         begun.is_some_and(|begun| now - begun >= REQUEST_TIMEOUT)
     }
 
+    /// Whether its client has not read on for too long.
+    fn stalled(&self, now: f64) -> bool {
+        self.blocked_since.get().is_some_and(|since| now - since >= ANSWER_STALL)
+    }
+
     /// It ends as soon as nothing is on it.
     fn end_soon(&self) {
         self.unwanted.set(true);
@@ -218,7 +228,7 @@
                 if long && !seat.unwanted.get() {
                     count(&self.gateway.traffic.closed_idle);
                     seat.end_soon();
-                } else if seat.late(now) || self.phase.get() == Phase::Closing {
+                } else if seat.late(now) || seat.stalled(now) || self.phase.get() == Phase::Closing {
                     seat.look.notify_one();
                 }
             }
@@ -227,9 +237,12 @@
 
     /// Why a connection ends now, if it does. A request whose last byte is there is taken, read or not: only where nothing is
     /// being answered and nothing waits to be read or written may it be closed.
-    fn ends(&self, seat: &Seat, quiet: &Quiet, blocked: bool) -> Option<CloseReason> {
+    fn ends(&self, seat: &Seat, quiet: &Quiet) -> Option<CloseReason> {
         let now = self.gateway.now();
-        let since = seat.idle_since.get().filter(|_| !blocked && quiet())?;
+        if seat.stalled(now) {
+            return Some(CloseReason::Stalled);
+        }
+        let since = seat.idle_since.get().filter(|_| seat.blocked_since.get().is_none() && quiet())?;
         if seat.late(now) {
             count(&self.gateway.traffic.late_requests);
             return Some(CloseReason::Late);
@@ -241,7 +254,8 @@
 
     async fn serve(self: &Rc<Self>, seat: &Rc<Seat>, stream: N::Accepted, quiet: Quiet) {
         let watch = Watch { incoming: seat.incoming.clone(), now: self.gateway.clock(), limit: HEAD_LIMIT };
-        let mut client = Client::new(Uninterrupted(stream));
+        let blocked_since = seat.blocked_since.clone();
+        let mut client = Client::new(Uninterrupted(stream), blocked_since, self.gateway.clock());
         let stream = Tapped::new(client.clone(), watch);
         let service = service_fn(|request| self.clone().handle(seat.clone(), request));
         let connection = http1::Builder::new()
@@ -262,7 +276,7 @@
                         break CloseReason::Departed;
                     }
                     () = seat.look.notified() => {
-                        if let Some(reason) = self.ends(seat, &quiet, client.blocked()) {
+                        if let Some(reason) = self.ends(seat, &quiet) {
                             break reason;
                         }
                     }
