--- a/crates/roseproxy/tests/common/mod.rs
+++ b/crates/roseproxy/tests/common/mod.rs
@@ -1,6 +1,7 @@
 //! What the tests on loopback sockets share: a sidecar, its configuration, and plain messages.
 #![allow(dead_code)] // each test program uses a part of it
 
+pub mod cold_fleet;
 pub mod faulty;
 pub mod gated;
 pub mod registry;
--- /dev/null
+++ b/crates/roseproxy/tests/starts.rs
@@ -0,0 +1,65 @@
+//! A start while something that it needs is not there yet: it waits for a moment. One that is faulty ends at once.
+
+mod common;
+
+use common::*;
+use serde_json::json;
+use std::net::{TcpListener, TcpStream};
+use std::path::PathBuf;
+use std::process::{Child, Command, Stdio};
+use std::time::{Duration, Instant};
+
+/// Longer than a start takes on a busy machine.
+const PATIENCE: Duration = Duration::from_secs(15);
+
+fn start(name: &str, text: &str) -> (Child, PathBuf) {
+    let path = std::env::temp_dir().join(format!("roseproxy-{name}-{}.json", std::process::id()));
+    std::fs::write(&path, text).expect("written");
+    let program =
+        Command::new(env!("CARGO_BIN_EXE_roseproxy")).env("LB_CONFIG", &path).stderr(Stdio::null()).spawn();
+    (program.expect("the program starts"), path)
+}
+
+/// Waits until the program accepts connections, or has ended.
+fn accepts(program: &mut Child, port: u16) -> bool {
+    let until = Instant::now() + PATIENCE;
+    while Instant::now() < until && program.try_wait().expect("a child").is_none() {
+        if TcpStream::connect(("127.0.0.1", port)).is_ok() {
+            return true;
+        }
+        std::thread::sleep(Duration::from_millis(20));
+    }
+    false
+}
+
+#[test]
+fn a_port_that_is_still_held_for_a_moment_is_waited_for() {
+    let held = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let port = held.local_addr().expect("bound").port();
+    let mut file = config().file;
+    file["listen"] = json!(format!("127.0.0.1:{port}"));
+    let (mut program, path) = start("held", &file.to_string());
+    std::thread::sleep(Duration::from_millis(700));
+    let waits = program.try_wait().expect("a child").is_none();
+    drop(held);
+    let accepts = waits && accepts(&mut program, port);
+    let _ = program.kill();
+    let _ = program.wait();
+    std::fs::remove_file(&path).expect("it is there");
+    assert!(waits && accepts, "waits {waits}, accepts {accepts}");
+}
+
+#[test]
+fn a_faulty_configuration_ends_a_start_at_once() {
+    let (mut program, path) = start("faulty", "{\"name\": ");
+    let until = Instant::now() + PATIENCE;
+    let mut status = None;
+    while status.is_none() && Instant::now() < until {
+        status = program.try_wait().expect("a child");
+        std::thread::sleep(Duration::from_millis(5));
+    }
+    let _ = program.kill();
+    let _ = program.wait();
+    std::fs::remove_file(&path).expect("it is there");
+    assert_eq!(status.and_then(|s| s.code()), Some(1));
+}
