--- a/crates/roseproxy/tests/common/mod.rs
+++ b/crates/roseproxy/tests/common/mod.rs
@@ -6,6 +6,8 @@
 pub mod gated;
 pub mod registry;
 
+use roseproxy::signals::Asked;
+use roseproxy::start::{serve as serve_program, Surroundings};
 use roseproxy::{config::Config, Clock};
 use roseproxy_decision::interface::Update;
 use roseproxy_platform::discovery;
@@ -26,6 +28,7 @@
 use std::time::Duration;
 use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::mpsc::unbounded_channel;
 use tokio::sync::watch;
 use tokio::task::spawn_local;
 
@@ -203,6 +206,12 @@
     message(client).await.expect("a whole answer")
 }
 
+/// The answer, where one comes.
+pub async fn try_ask(client: &mut TcpStream, text: &str) -> Option<String> {
+    client.write_all(text.as_bytes()).await.ok()?;
+    message(client).await
+}
+
 pub fn of<N: Network>(gateway: &Gateway<N>, name: &str) -> u64 {
     gateway.counts().iter().find(|(n, _)| n == name).map_or(0, |(_, count)| *count)
 }
@@ -300,3 +309,29 @@
     });
     count
 }
+
+/// Lets the whole program run from a configuration.
+pub fn program<N: Network>(
+    network: N,
+    config: Config,
+) -> (tokio::task::JoinHandle<Result<String, String>>, tokio::sync::mpsc::UnboundedSender<Asked>) {
+    let (ask, asked) = unbounded_channel();
+    let around = Surroundings {
+        network,
+        clock: Clock::system(),
+        say: Rc::new(|_| {}),
+        decider: None,
+        print_events: false,
+    };
+    (spawn_local(serve_program(config, around, asked, || Err("no reload".into()))), ask)
+}
+
+/// A configuration of the program at a port of its own, with these targets known.
+pub async fn at_port(mut config: Config, targets: &[SocketAddr]) -> Config {
+    let (socket, address) = port().await;
+    drop(socket);
+    config.listen = address;
+    let group: Vec<_> = targets.iter().map(|t| (*t, "in_service")).collect();
+    let known = roseproxy_platform::discovery::read(list(1, true, &group).as_bytes());
+    Config { known: Some(known.expect("a list")), ..config }
+}
--- a/crates/roseproxy/tests/crossings.rs
+++ b/crates/roseproxy/tests/crossings.rs
@@ -6,7 +6,6 @@
 use common::gated::Gated;
 use common::*;
 use roseproxy::signals::Asked;
-use roseproxy::start::{serve as run, Surroundings};
 use roseproxy::{config::Config, Clock};
 use roseproxy_decision::interface::{Action, Event, Micros};
 use roseproxy_routing::decide::Decider;
@@ -22,7 +21,6 @@
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::mpsc::unbounded_channel;
 use tokio::task::spawn_local;
 
 const READY: &str = "GET /health/ready HTTP/1.1\r\nHost: a\r\n\r\n";
@@ -246,32 +244,6 @@
 
 // ---- the end
 
-/// Lets the whole program run from a configuration.
-fn program(
-    network: Gated,
-    config: Config,
-) -> (tokio::task::JoinHandle<Result<String, String>>, tokio::sync::mpsc::UnboundedSender<Asked>) {
-    let (ask, asked) = unbounded_channel();
-    let around = Surroundings {
-        network,
-        clock: Clock::system(),
-        say: Rc::new(|_| {}),
-        decider: None,
-        print_events: false,
-    };
-    (spawn_local(run(config, around, asked, || Err("no reload".into()))), ask)
-}
-
-/// A configuration of the program at a port of its own, with these targets known.
-async fn at_port(mut config: Config, targets: &[SocketAddr]) -> Config {
-    let (socket, address) = port().await;
-    drop(socket);
-    config.listen = address;
-    let group: Vec<_> = targets.iter().map(|t| (*t, "in_service")).collect();
-    let known = roseproxy_platform::discovery::read(list(1, true, &group).as_bytes());
-    Config { known: Some(known.expect("a list")), ..config }
-}
-
 /// Targets that hang while the program ends: the kill comes 0.7 s after the longest deadline, which counts as 3 s at
 /// most, and what is open then has its answer before, whole.
 #[test]
