Read lists of up to 4 MiB

Cause: LONGEST_LIST was 1 MiB; a whole list of 3,200 endpoints, far indented, is larger, the call fails as a broken exchange and is made again for ever, so that no change is heard. Measured: large_lists.rs fails without it and passes with it (whole list and watch).

--- a/crates/transport/src/discovery.rs
+++ b/crates/transport/src/discovery.rs
@@ -19,8 +19,8 @@
 const ANSWER: f64 = 3_000.0;
 /// A watch beats every 2 s; without a line, or with an object that does not end, for this long it is dead (ms).
 const SILENCE: f64 = 3_000.0;
-/// Longest list that is read: against one without end.
-const LONGEST_LIST: usize = 1 << 20;
+/// Longest list that is read (bytes): three times that of the largest fleets, indented; against one without end.
+const LONGEST_LIST: usize = 4 << 20;
 
 /// Keeps up with the target group.
 pub struct Watcher<N> {
