Test that room is made beside a client that does not read (known to fail)

One whose answer waits to be written counts as idle and never ends for that, so that a client that idles beside it keeps its place and the next one waits.

--- a/crates/roseproxy/tests/common/gated.rs
+++ b/crates/roseproxy/tests/common/gated.rs
@@ -51,6 +51,8 @@
     pub reads: Rc<Gate>,
     pub answers: Rc<Gate>,
     pub sends: Rc<Gate>,
+    /// A gate of its own, in place of `answers`, for the client that is accepted next.
+    pub next_answers: Rc<RefCell<Option<Rc<Gate>>>>,
 }
 
 pub struct Held<S> {
@@ -70,7 +72,8 @@
 
     async fn accept(&self, listener: &TcpListener) -> io::Result<(Self::Accepted, Quiet)> {
         let (stream, quiet) = Tcp.accept(listener).await?;
-        Ok((Held { stream, reads: self.reads.clone(), writes: self.answers.clone() }, quiet))
+        let writes = self.next_answers.take().unwrap_or_else(|| self.answers.clone());
+        Ok((Held { stream, reads: self.reads.clone(), writes }, quiet))
     }
 
     async fn connect(&self, address: SocketAddr) -> io::Result<(Self::Opened, Quiet)> {
--- a/crates/roseproxy/tests/stalled_peers.rs
+++ b/crates/roseproxy/tests/stalled_peers.rs
@@ -4,9 +4,10 @@
 mod common;
 
 use common::faulty::{Faulty, EADDRNOTAVAIL, ENFILE, ENOBUFS};
-use common::gated::Gated;
+use common::gated::{Gate, Gated};
 use common::*;
 use roseproxy::Clock;
+use std::rc::Rc;
 use std::time::Duration;
 use tokio::task::spawn_local;
 
@@ -69,3 +70,26 @@
         drop(waits);
     });
 }
+
+/// One that does not read is no idle client: another one makes room for those who come.
+#[test]
+fn room_is_made_beside_a_client_that_does_not_read() {
+    timeless(async {
+        let (endpoint, address) = port().await;
+        let network = Gated::default();
+        let sidecar = sidecar_on(network.clone(), quick(), Clock::system(), &[address], 2, 20).await;
+        let heard = count_requests(endpoint);
+        let shut = Rc::<Gate>::default();
+        shut.shut();
+        *network.next_answers.borrow_mut() = Some(shut);
+        let _stuck = asks(sidecar.address, &request("place-order", "stuck", "b")).await;
+        until("it is served", || heard.get() == 1).await;
+        tokio::time::sleep(Duration::from_millis(400)).await;
+        let mut idle = asks(sidecar.address, "").await;
+        ask(&mut idle, &request("place-order", "idle", "b")).await;
+        tokio::time::sleep(Duration::from_millis(400)).await;
+        let mut waits = asks(sidecar.address, &request("place-order", "waits", "b")).await;
+        let answer = tokio::time::timeout(Duration::from_millis(1_000), message(&mut waits)).await;
+        assert!(answer.is_ok(), "the idle client has made no room");
+    });
+}
