Count no connection as idle whose answer waits to be written

Cause: Seat::idle looked at the request alone. Measured: room_is_made_beside_a_client_that_does_not_read fails without it and passes with it; the tests of crossings, sockets and descriptors pass.

--- a/crates/transport/src/listener.rs
+++ b/crates/transport/src/listener.rs
@@ -89,9 +89,10 @@
 }
 
 impl Seat {
-    /// Since when it has stood there with nothing asked, not even half.
+    /// Since when it has stood there with nothing asked, not even half, and no answer to be written.
     fn idle(&self) -> Option<f64> {
-        self.idle_since.get().filter(|_| self.incoming.begun().is_none())
+        let busy = self.incoming.begun().is_some() || self.blocked_since.get().is_some();
+        self.idle_since.get().filter(|_| !busy)
     }
 
     /// Whether a request has taken too long to come whole, or the first one to come at all.
