Test half a request that waited to be accepted (known to fail)

The sidecar's log shows no stall; it closed the connection as late 2.5 s after it had accepted it, which was half a second after the connect, while accepting failed.

--- a/crates/roseproxy/tests/system_calls.rs
+++ b/crates/roseproxy/tests/system_calls.rs
@@ -13,6 +13,9 @@
 const TIMEOUT: f64 = 2_000.0;
 const SLACK: f64 = 150.0;
 
+/// A client that sends what is no request is owed an error or a close within this time of connecting.
+const OWED: Duration = Duration::from_millis(3_000);
+
 /// A request with that time, of a class that is sent once: its attempt gets all of it.
 fn hasty(id: &str) -> String {
     request("place-order", id, "b")
@@ -73,3 +76,19 @@
         assert_eq!(served.await.expect("no panic").len(), 1);
     });
 }
+
+#[test]
+fn half_a_request_that_waited_to_be_accepted_is_closed_in_time() {
+    timeless(async {
+        let network = Faulty::default();
+        network.accepts.set(Some(ENFILE));
+        let sidecar = sidecar_on(network.clone(), quick(), Clock::system(), &[], 20, 20).await;
+        let began = tokio::time::Instant::now();
+        let mut client = asks(sidecar.address, "GET /quote HTTP/1.1\r\nHo").await;
+        tokio::time::sleep(Duration::from_millis(1_000)).await;
+        network.accepts.set(None);
+        assert!(message(&mut client).await.is_none(), "half a request has no answer");
+        let took = began.elapsed();
+        assert!(took <= OWED, "closed after {took:?}");
+    });
+}
