--- a/crates/soak/src/client.rs
+++ b/crates/soak/src/client.rs
@@ -3,6 +3,7 @@
 use crate::control::{follow, ClientConduct, Told};
 use crate::endpoint::reset;
 use crate::http::Reader;
+use crate::lag::Lag;
 use crate::records::{now, print, Class, End, Record};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -53,6 +54,7 @@
     idle: RefCell<Vec<Connection>>,
     asked: Cell<u64>,
     random: RefCell<ChaCha8Rng>,
+    lag: Lag,
     seed: u64,
 }
 
@@ -72,7 +74,8 @@
     let random = RefCell::new(ChaCha8Rng::seed_from_u64(seed));
     let (idle, asked) = (RefCell::default(), Cell::new(0));
     let conduct = follow(|_| {});
-    let clients = Rc::new(Clients { sidecar, address, conduct, idle, asked, random, seed });
+    let lag = Lag::measure();
+    let clients = Rc::new(Clients { sidecar, address, conduct, idle, asked, random, lag, seed });
     spawn_local(clients.clone().misbehave());
     loop {
         let rate = clients.conduct.borrow().rate;
@@ -213,6 +216,6 @@
         let mut first = [0; 1];
         let heard = tokio::time::timeout(Duration::from_secs_f64(OWED / 1e3), stream.read(&mut first)).await;
         let within = heard.is_ok().then(|| now() - began);
-        print(&Record::Misbehaved { sidecar: self.sidecar, at: now(), within });
+        print(&Record::Misbehaved { sidecar: self.sidecar, at: now(), within, lag: self.lag.millis() });
     }
 }
--- a/crates/soak/src/endpoint.rs
+++ b/crates/soak/src/endpoint.rs
@@ -2,6 +2,7 @@
 
 use crate::control::{follow, EndpointConduct, Told};
 use crate::http::{Message, Reader};
+use crate::lag::Lag;
 use crate::records::{print, Class, Record};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -15,6 +16,8 @@
 
 /// Times of an answer (ms).
 const ANSWERS: (f64, f64) = (2.0, 25.0);
+/// How long until a lag of this moment has been measured.
+const LAG_KNOWN: Duration = Duration::from_millis(2);
 /// Share of answers that are large, and their size (bytes).
 const LARGE: (f64, usize) = (0.05, 48 * 1024);
 
@@ -24,6 +27,7 @@
     cell: u32,
     conduct: Told<EndpointConduct>,
     in_flight: Cell<usize>,
+    lag: Lag,
     random: RefCell<ChaCha8Rng>,
 }
 
@@ -31,8 +35,8 @@
 pub async fn run(number: usize, cell: u32, port: u16, seed: u64) -> io::Result<()> {
     let listener = TcpListener::bind(("127.0.0.1", port)).await?;
     let random = RefCell::new(ChaCha8Rng::seed_from_u64(seed));
-    let endpoint =
-        Rc::new(Endpoint { number, cell, conduct: follow(|_| {}), in_flight: Cell::new(0), random });
+    let (conduct, in_flight, lag) = (follow(|_| {}), Cell::new(0), Lag::measure());
+    let endpoint = Rc::new(Endpoint { number, cell, conduct, in_flight, lag, random });
     loop {
         let (stream, _) = listener.accept().await?;
         spawn_local(endpoint.clone().serve(stream));
@@ -73,6 +77,8 @@
         };
         let conduct = *self.conduct.borrow();
         let rejected = self.happens(conduct.rejects);
+        // What is late just now is measured in the next period.
+        tokio::time::sleep(LAG_KNOWN).await;
         self.report(&id, message, !rejected);
         if rejected {
             write(stream, "503 Busy", &format!("Not-Started: 1\r\n{load}"), b"full").await?;
@@ -139,6 +145,7 @@
             whole: message.whole,
             told: seconds.unwrap_or(f64::MAX) * 1e3,
             ran,
+            lag: self.lag.millis(),
         });
     }
 }
--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -17,8 +17,8 @@
 const PAUSES: (f64, f64) = (0.4, 1.0);
 /// How long a draining endpoint stays (ms).
 const DRAIN: f64 = 4_000.0;
-/// What a process may be held up for (ms).
-const STALL: f64 = 140.0;
+/// How long a process is held up (ms): the platform allows 150, and telling it to go on takes a moment too.
+const STALL: f64 = 100.0;
 
 /// A kind of fault.
 #[derive(Clone, Copy, Debug, PartialEq)]
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -13,6 +13,7 @@
 mod fleet;
 mod http;
 mod judge;
+mod lag;
 mod records;
 mod run;
 mod settings;
--- a/crates/soak/src/records.rs
+++ b/crates/soak/src/records.rs
@@ -48,13 +48,13 @@
     Unreachable,
 }
 
-/// An event that one of the processes saw.
+/// An event that one of the processes saw. `lag` is how late that process itself ran then (ms).
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub enum Record {
     /// A client's request has ended. `sent` is when its last byte went out.
     Request { id: String, sidecar: usize, class: Class, sent: f64, timeout: f64, at: f64, end: End },
     /// A client that sends what is no request got an error or a close after so long (ms), or nothing.
-    Misbehaved { sidecar: usize, at: f64, within: Option<f64> },
+    Misbehaved { sidecar: usize, at: f64, within: Option<f64>, lag: f64 },
     /// An endpoint has read an attempt whole, which told it to take `told` ms.
     Attempt {
         id: String,
@@ -65,6 +65,7 @@
         whole: f64,
         told: f64,
         ran: bool,
+        lag: f64,
     },
     /// Discovery has told a sidecar of an endpoint.
     Told { sidecar: usize, endpoint: usize, at: f64, in_service: bool },
