Try an accept that fails again every 2 ms for half a second

After 16 errors in a row accepting rested 20 ms each: some 18 connections a second where 15 and more came. It rests 2 ms for the first 250 errors in a row now.

--- a/crates/transport/src/accepting.rs
+++ b/crates/transport/src/accepting.rs
@@ -6,9 +6,11 @@
 use std::io::{self, ErrorKind};
 use std::pin::pin;
 
-/// How many errors in a row are few.
-const FEW: u32 = 16;
-/// How long accepting rests after one of the first errors in a row, and after further ones (ms): against a busy loop.
+/// Errors of single connections in a row after which accepting rests all the same: against a busy loop.
+const MOST_WITHOUT_REST: u32 = 16;
+/// Errors in a row, half a second of them, after which what is short is short for longer.
+const FOR_A_MOMENT: u32 = 250;
+/// How long accepting rests after an error (ms): while something may be short for a moment, and for longer.
 const RESTS: (f64, f64) = (2.0, 20.0);
 
 /// A connection that was accepted.
@@ -71,8 +73,8 @@
     pub fn rest_after(&self, error: &io::Error) -> f64 {
         let of_one = matches!(error.kind(), ErrorKind::Interrupted | ErrorKind::ConnectionAborted);
         match self.errors.get() {
-            0..FEW if of_one => 0.0,
-            0..FEW => RESTS.0,
+            0..MOST_WITHOUT_REST if of_one => 0.0,
+            0..FOR_A_MOMENT => RESTS.0,
             _ => RESTS.1,
         }
     }
