--- a/crates/soak/src/client.rs
+++ b/crates/soak/src/client.rs
@@ -56,6 +56,8 @@
     random: RefCell<ChaCha8Rng>,
     lag: Lag,
     seed: u64,
+    /// What measuring may be off by (ms).
+    slack: f64,
 }
 
 /// A request that is sent, maybe more than once where its connection was closed unread.
@@ -70,12 +72,12 @@
 }
 
 /// Asks until the standard input ends.
-pub async fn run(sidecar: usize, address: SocketAddr, seed: u64) {
+pub async fn run(sidecar: usize, address: SocketAddr, seed: u64, slack: f64) {
     let random = RefCell::new(ChaCha8Rng::seed_from_u64(seed));
     let (idle, asked) = (RefCell::default(), Cell::new(0));
     let conduct = follow(|_| {});
     let lag = Lag::measure();
-    let clients = Rc::new(Clients { sidecar, address, conduct, idle, asked, random, lag, seed });
+    let clients = Rc::new(Clients { sidecar, address, conduct, idle, asked, random, lag, seed, slack });
     spawn_local(clients.clone().misbehave());
     loop {
         let rate = clients.conduct.borrow().rate;
@@ -179,7 +181,7 @@
     }
 
     async fn hear(&self, request: &Request, connection: &mut Connection) -> End {
-        let waits = request.leaves_after.unwrap_or(request.timeout + LISTENS_ON);
+        let waits = request.leaves_after.unwrap_or(request.timeout + LISTENS_ON + self.slack);
         if request.trails && request.leaves_after.is_some() {
             let _ = connection.stream.write_all(&[b'x'; 30_000]).await;
         }
--- a/crates/soak/src/fleet.rs
+++ b/crates/soak/src/fleet.rs
@@ -152,13 +152,13 @@
 }
 
 impl Fleet {
-    /// Starts the stand-ins of a run; the sidecars are started by [`Fleet::start_all`].
+    /// Starts the stand-ins of a run with this seed and slack (ms); the sidecars are started by [`Fleet::start_all`].
     pub fn new(
         settings: Settings,
         endpoints: usize,
         program: &Path,
         folder: &Path,
-        seed: u64,
+        (seed, slack): (u64, f64),
     ) -> Result<Rc<Fleet>, String> {
         let records = Rc::new(RefCell::new(Vec::new()));
         let ports = free_ports(settings.sidecars * 3)?;
@@ -169,7 +169,7 @@
         let library = shim::build(folder)?;
         let mut sidecars = Vec::new();
         for (number, listen) in listens.iter().enumerate() {
-            let arguments = words([&"client", &number, listen, &(seed * 1_000 + number as u64)]);
+            let arguments = words([&"client", &number, listen, &(seed * 1_000 + number as u64), &slack]);
             let control = Control::new(folder.join(format!("sidecar-{number}.faults")));
             sidecars.push(Sidecar {
                 number,
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -63,7 +63,7 @@
     let settings = Settings::draw(&mut random, how.sidecars, how.capacity);
     let plan = plan(&mut random, how.seconds);
     let (timeline, records) = LocalSet::new().block_on(&runtime, async {
-        let fleet = Fleet::new(settings, how.endpoints, &how.program, folder.path(), seed)?;
+        let fleet = Fleet::new(settings, how.endpoints, &how.program, folder.path(), (seed, how.slack))?;
         fleet.registry.borrow_mut().indented = seed % 2 == 0;
         fleet.publish().await;
         fleet.start_all().await?;
