Test the close behind a last answer that waited: an orderly end before any reset

Suspect 6 of docs/invariants.md, ruled out: hyper ends the sending side before the close, so that the client reads the whole answer and an orderly end, with bytes behind its request and without.

--- a/crates/roseproxy/tests/stalled_peers.rs
+++ b/crates/roseproxy/tests/stalled_peers.rs
@@ -7,8 +7,10 @@
 use common::gated::{Gate, Gated};
 use common::*;
 use roseproxy::Clock;
+use roseproxy_transport::listener::Phase;
 use std::rc::Rc;
 use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::task::spawn_local;
 
 #[test]
@@ -93,3 +95,51 @@
         assert!(answer.is_ok(), "the idle client has made no room");
     });
 }
+
+/// Bytes that come while the last answer on a connection waits to be written are read before the close: a close over
+/// unread bytes is a reset.
+#[test]
+fn bytes_behind_a_last_answer_that_waited_make_its_close_no_reset() {
+    timeless(async {
+        let (endpoint, address) = port().await;
+        let network = Gated::default();
+        let sidecar = sidecar_on(network.clone(), quick(), Clock::system(), &[address], 2, 20).await;
+        let heard = count_requests(endpoint);
+        network.answers.shut();
+        // It is the last one, as bytes come behind its request.
+        let text = request("place-order", "one", "b") + "behind";
+        let mut client = asks(sidecar.address, &text).await;
+        until("it is served", || heard.get() == 1).await;
+        turns().await;
+        client.write_all(b"more").await.expect("it is open");
+        turns().await;
+        network.answers.open();
+        let mut answer = Vec::new();
+        client.read_to_end(&mut answer).await.expect("an orderly end");
+        assert!(String::from_utf8_lossy(&answer).ends_with("priced"));
+        // What stays of it is no reset either.
+        assert_eq!(client.take_error().expect("asked").map(|e| e.kind()), None);
+    });
+}
+
+/// The same where nothing had come behind the request: the process ends.
+#[test]
+fn bytes_behind_the_last_answer_of_a_process_make_its_close_no_reset() {
+    timeless(async {
+        let (endpoint, address) = port().await;
+        let network = Gated::default();
+        let sidecar = sidecar_on(network.clone(), quick(), Clock::system(), &[address], 2, 20).await;
+        let heard = count_requests(endpoint);
+        network.answers.shut();
+        sidecar.listener.enter(Phase::Closing);
+        let mut client = asks(sidecar.address, &request("place-order", "one", "b")).await;
+        until("it is served", || heard.get() == 1).await;
+        turns().await;
+        client.write_all(b"more").await.expect("it is open");
+        turns().await;
+        network.answers.open();
+        let mut answer = Vec::new();
+        client.read_to_end(&mut answer).await.expect("an orderly end");
+        assert!(String::from_utf8_lossy(&answer).ends_with("priced"));
+    });
+}
