--- a/crates/decision/src/policy.rs
+++ b/crates/decision/src/policy.rs
@@ -496,8 +496,8 @@
             share = pick.map_or(0.0, |slot| self.table[slot]);
         }
         if let Some(drawn) = pick {
-            let others: Vec<usize> = if first { self.usable().collect() } else { set.clone() };
-            pick = self.within_budget(drawn, share, &others);
+            let others = if first { None } else { Some(&set[..]) };
+            pick = self.within_budget(drawn, share, others);
             if pick.is_none() {
                 return self.finish_without_budget(request);
             }
--- a/crates/decision/src/slow_start.rs
+++ b/crates/decision/src/slow_start.rs
@@ -53,18 +53,25 @@
         self.slow_start.allows(self.now, server.id.0, warmth, server.power)
     }
 
-    /// The server drawn with this share or, where that has had its budget, another one of these; `None` where none of
-    /// them bears more.
-    pub(crate) fn within_budget(&mut self, drawn: usize, share: f64, others: &[usize]) -> Option<usize> {
+    /// The server drawn with this share or, where that has had its budget, another one of these, of all where there are
+    /// none; `None` where none of them bears more.
+    pub(crate) fn within_budget(
+        &mut self,
+        drawn: usize,
+        share: f64,
+        others: Option<&[usize]>,
+    ) -> Option<usize> {
         if !self.keeps_to_share(drawn, share) {
             return None;
         }
         if self.bears_one_more(drawn) {
             return Some(drawn);
         }
-        let open = others.iter().copied().filter(|slot| *slot != drawn && self.backends[*slot].usable());
-        let open: Vec<usize> = open.collect();
-        let open: Vec<usize> = open.into_iter().filter(|slot| self.bears_one_more(*slot)).collect();
+        let mut open: Vec<usize> = match others {
+            Some(others) => others.iter().copied().filter(|slot| self.backends[*slot].usable()).collect(),
+            None => self.usable().collect(),
+        };
+        open.retain(|slot| *slot != drawn && self.bears_one_more(*slot));
         self.fill(&open, self.stay, None);
         let draw = self.uniform();
         let at = find(self.shares.iter().copied(), draw)?;
