--- a/crates/roseproxy/src/log.rs
+++ b/crates/roseproxy/src/log.rs
@@ -3,6 +3,7 @@
 //! `eprintln!` panics where standard error fails (a full disk, a reader that has gone), and waits where nobody reads a
 //! full pipe; the program has one thread. Here a line that cannot be written at once is dropped and counted.
 
+use roseproxy_transport::errno::ENOTSOCK;
 use std::cell::Cell;
 use std::fs::{File, OpenOptions};
 use std::io::{self, ErrorKind, Write};
@@ -84,10 +85,7 @@
     let error = io::stderr();
     let sent = socket2::SockRef::from(&error).send_with_flags(bytes, DO_NOT_WAIT);
     match sent {
-        Err(e) if e.raw_os_error() == Some(NOT_A_SOCKET) => error.lock().write(bytes),
+        Err(e) if e.raw_os_error() == Some(ENOTSOCK) => error.lock().write(bytes),
         sent => sent,
     }
 }
-
-/// Linux: `ENOTSOCK`.
-const NOT_A_SOCKET: i32 = 88;
--- a/crates/roseproxy/src/startup.rs
+++ b/crates/roseproxy/src/startup.rs
@@ -1,5 +1,6 @@
 //! A start on a machine that is short of something for a moment.
 
+use roseproxy_transport::errno::{EADDRINUSE, EAGAIN, EINTR, EIO, EMFILE, ENFILE, ENOBUFS, ENOMEM};
 use std::fmt::Display;
 use std::future::Future;
 use std::io;
@@ -10,21 +11,8 @@
 const RETRY: f64 = 100.0;
 const MOST_TRIES: u32 = 150;
 
-/// Error numbers of Linux.
-mod errno {
-    pub const EINTR: i32 = 4;
-    pub const EIO: i32 = 5;
-    pub const EAGAIN: i32 = 11;
-    pub const ENOMEM: i32 = 12;
-    pub const ENFILE: i32 = 23;
-    pub const EMFILE: i32 = 24;
-    pub const EADDRINUSE: i32 = 98;
-    pub const ENOBUFS: i32 = 105;
-}
-
 /// Whether an error may be gone in a moment: something is short, or the process before still holds its port.
 pub fn passes(error: &io::Error) -> bool {
-    use errno::*;
     let passing = [EINTR, EIO, EAGAIN, ENOMEM, ENFILE, EMFILE, EADDRINUSE, ENOBUFS];
     error.raw_os_error().is_some_and(|number| passing.contains(&number))
 }
--- a/crates/roseproxy/tests/common/faulty.rs
+++ b/crates/roseproxy/tests/common/faulty.rs
@@ -11,14 +11,6 @@
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpListener;
 
-/// Error numbers of Linux.
-pub const ENFILE: i32 = 23;
-pub const EMFILE: i32 = 24;
-pub const EADDRNOTAVAIL: i32 = 99;
-pub const ENETUNREACH: i32 = 101;
-pub const ECONNABORTED: i32 = 103;
-pub const ENOBUFS: i32 = 105;
-
 /// The system's sockets.
 #[derive(Clone, Default)]
 pub struct Faulty {
--- a/crates/roseproxy/tests/common/mod.rs
+++ b/crates/roseproxy/tests/common/mod.rs
@@ -310,20 +310,19 @@
     count
 }
 
+/// What stands round the program: this network, the system's clock, and nobody who reads its log.
+pub fn surroundings<N: Network>(network: N) -> Surroundings<N> {
+    let say = Rc::new(|_: &str| {});
+    Surroundings { network, clock: Clock::system(), say, decider: None, print_events: false }
+}
+
 /// Lets the whole program run from a configuration.
 pub fn program<N: Network>(
     network: N,
     config: Config,
 ) -> (tokio::task::JoinHandle<Result<String, String>>, tokio::sync::mpsc::UnboundedSender<Asked>) {
     let (ask, asked) = unbounded_channel();
-    let around = Surroundings {
-        network,
-        clock: Clock::system(),
-        say: Rc::new(|_| {}),
-        decider: None,
-        print_events: false,
-    };
-    (spawn_local(serve_program(config, around, asked, || Err("no reload".into()))), ask)
+    (spawn_local(serve_program(config, surroundings(network), asked, || Err("no reload".into()))), ask)
 }
 
 /// A configuration of the program at a port of its own, with these targets known.
--- a/crates/roseproxy/tests/descriptors.rs
+++ b/crates/roseproxy/tests/descriptors.rs
@@ -5,8 +5,8 @@
 
 use common::registry::{Loopback, Outage, Registry};
 use common::*;
-use roseproxy::start::{serve, Surroundings};
-use roseproxy::{config::Config, Clock};
+use roseproxy::config::Config;
+use roseproxy::start::serve;
 use roseproxy_transport::budget::{Budget, Permit};
 use roseproxy_transport::network::{Network, Quiet};
 use serde_json::json;
@@ -132,13 +132,7 @@
         };
         let descriptors = network.clone();
         let (ending, asked) = unbounded_channel();
-        let around = Surroundings {
-            network,
-            clock: Clock::system(),
-            say: Rc::new(|_| {}),
-            decider: None,
-            print_events: false,
-        };
+        let around = surroundings(network);
         spawn_local(serve(config, around, asked, || Err("no reload".into())));
         sleep(Duration::from_secs(20)).await;
         assert_eq!(registry.open_watches(), 1, "not watched at first");
--- a/crates/roseproxy/tests/restarts.rs
+++ b/crates/roseproxy/tests/restarts.rs
@@ -5,11 +5,10 @@
 
 use common::registry::{Loopback, Registry};
 use common::*;
-use roseproxy::start::{serve, Surroundings};
-use roseproxy::{config::Config, Clock};
+use roseproxy::config::Config;
+use roseproxy::start::serve;
 use serde_json::json;
 use std::net::SocketAddr;
-use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::TcpStream;
 use tokio::sync::mpsc::unbounded_channel;
@@ -52,13 +51,7 @@
             let (ending, asked) = unbounded_channel();
             endings.push(ending);
             let network = Loopback(registry.clone());
-            let around = Surroundings {
-                network,
-                clock: Clock::system(),
-                say: Rc::new(|_| {}),
-                decider: None,
-                print_events: false,
-            };
+            let around = surroundings(network);
             spawn_local(serve(config, around, asked, || Err("no reload".into())));
         }
         sleep(MOST).await;
--- a/crates/roseproxy/tests/stalled_peers.rs
+++ b/crates/roseproxy/tests/stalled_peers.rs
@@ -3,16 +3,26 @@
 
 mod common;
 
-use common::faulty::{Faulty, EADDRNOTAVAIL, ENFILE, ENOBUFS};
+use common::faulty::Faulty;
 use common::gated::{Gate, Gated};
 use common::*;
 use roseproxy::Clock;
+use roseproxy_transport::errno::{EADDRNOTAVAIL, ENFILE, ENOBUFS};
 use roseproxy_transport::listener::Phase;
+use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::task::spawn_local;
 
+/// A sidecar with so many places for clients, on gated sockets, and what its endpoint has heard.
+async fn gated(places: usize) -> (Gated, Sidecar<Gated>, Rc<Cell<usize>>) {
+    let (endpoint, address) = port().await;
+    let network = Gated::default();
+    let sidecar = sidecar_on(network.clone(), quick(), Clock::system(), &[address], places, 20).await;
+    (network, sidecar, count_requests(endpoint))
+}
+
 #[test]
 fn a_connect_that_fails_here_for_a_moment_is_no_fault_of_the_endpoint() {
     for error in [ENFILE, ENOBUFS, EADDRNOTAVAIL] {
@@ -59,10 +69,7 @@
 #[test]
 fn a_client_that_does_not_read_its_answer_frees_its_place() {
     timeless(async {
-        let (endpoint, address) = port().await;
-        let network = Gated::default();
-        let sidecar = sidecar_on(network.clone(), quick(), Clock::system(), &[address], 1, 20).await;
-        let heard = count_requests(endpoint);
+        let (network, sidecar, heard) = gated(1).await;
         network.answers.shut();
         let _stuck = asks(sidecar.address, &request("place-order", "one", "b")).await;
         until("it is served", || heard.get() == 1).await;
@@ -77,10 +84,7 @@
 #[test]
 fn room_is_made_beside_a_client_that_does_not_read() {
     timeless(async {
-        let (endpoint, address) = port().await;
-        let network = Gated::default();
-        let sidecar = sidecar_on(network.clone(), quick(), Clock::system(), &[address], 2, 20).await;
-        let heard = count_requests(endpoint);
+        let (network, sidecar, heard) = gated(2).await;
         let shut = Rc::<Gate>::default();
         shut.shut();
         *network.next_answers.borrow_mut() = Some(shut);
@@ -101,10 +105,7 @@
 #[test]
 fn bytes_behind_a_last_answer_that_waited_make_its_close_no_reset() {
     timeless(async {
-        let (endpoint, address) = port().await;
-        let network = Gated::default();
-        let sidecar = sidecar_on(network.clone(), quick(), Clock::system(), &[address], 2, 20).await;
-        let heard = count_requests(endpoint);
+        let (network, sidecar, heard) = gated(2).await;
         network.answers.shut();
         // It is the last one, as bytes come behind its request.
         let text = request("place-order", "one", "b") + "behind";
@@ -126,10 +127,7 @@
 #[test]
 fn bytes_behind_the_last_answer_of_a_process_make_its_close_no_reset() {
     timeless(async {
-        let (endpoint, address) = port().await;
-        let network = Gated::default();
-        let sidecar = sidecar_on(network.clone(), quick(), Clock::system(), &[address], 2, 20).await;
-        let heard = count_requests(endpoint);
+        let (network, sidecar, heard) = gated(2).await;
         network.answers.shut();
         sidecar.listener.enter(Phase::Closing);
         let mut client = asks(sidecar.address, &request("place-order", "one", "b")).await;
--- a/crates/roseproxy/tests/system_calls.rs
+++ b/crates/roseproxy/tests/system_calls.rs
@@ -2,9 +2,10 @@
 
 mod common;
 
-use common::faulty::{Faulty, ENFILE};
+use common::faulty::Faulty;
 use common::*;
 use roseproxy::Clock;
+use roseproxy_transport::errno::ENFILE;
 use std::time::Duration;
 use tokio::net::TcpStream;
 use tokio::task::spawn_local;
--- a/crates/routing/src/book.rs
+++ b/crates/routing/src/book.rs
@@ -4,6 +4,7 @@
 use super::flow::Answer;
 use super::guard::{Withheld, WITHHELD};
 use super::invariants::{Violation, VIOLATIONS};
+use super::kinds::{add, named};
 use roseproxy_decision::interface::Outcome;
 
 /// Counts since the start.
@@ -105,19 +106,3 @@
             .collect()
     }
 }
-
-/// One more of a kind.
-fn add<K: PartialEq>(counts: &mut [u64], kinds: &[(K, &str)], kind: K) {
-    if let Some(at) = kinds.iter().position(|(k, _)| *k == kind) {
-        counts[at] += 1;
-    }
-}
-
-/// Counts by kind, with their names.
-fn named<'a, K>(
-    prefix: &'a str,
-    kinds: &'a [(K, &str)],
-    counts: &'a [u64],
-) -> impl Iterator<Item = (String, u64)> + 'a {
-    kinds.iter().zip(counts).map(move |((_, name), count)| (format!("{prefix}_{name}"), *count))
-}
--- a/crates/routing/src/guard.rs
+++ b/crates/routing/src/guard.rs
@@ -4,6 +4,7 @@
 //! anything may have happened between the two. [`super::invariants`] checks afterwards that it was heeded.
 
 use super::flow::{FlowId, ForwardId};
+use super::kinds::name_of;
 use super::{time, Flow, Host, Member, Written, SPARE};
 use roseproxy_decision::interface::{Effect, Group, Outcome, Readiness, ServerId};
 
@@ -49,7 +50,7 @@
 impl Withheld {
     /// Its name in counters and in the event log.
     pub fn name(self) -> &'static str {
-        WITHHELD.iter().find(|(reason, _)| *reason == self).map_or("", |(_, name)| name)
+        name_of(&WITHHELD, self)
     }
 }
 
--- a/crates/routing/src/invariants.rs
+++ b/crates/routing/src/invariants.rs
@@ -5,6 +5,7 @@
 use super::event_log::EventKind;
 use super::flow::{FlowId, ForwardId};
 use super::guard::Withheld;
+use super::kinds::name_of;
 use super::{time, Flow, Host, SPARE};
 use roseproxy_decision::interface::ServerId;
 
@@ -49,7 +50,7 @@
 impl Violation {
     /// Its name in counters and in the event log.
     pub fn name(self) -> &'static str {
-        VIOLATIONS.iter().find(|(violation, _)| *violation == self).map_or("", |(_, name)| name)
+        name_of(&VIOLATIONS, self)
     }
 }
 
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod flow;
 pub mod guard;
 pub mod invariants;
+pub mod kinds;
 pub mod relay;
 pub mod route;
 pub mod send;
--- a/crates/transport/src/connecting.rs
+++ b/crates/transport/src/connecting.rs
@@ -1,6 +1,7 @@
 //! Opening connections, and whose fault it is where that fails.
 
 use super::connection::Connection;
+use super::errno::{EADDRNOTAVAIL, EAGAIN, EINTR, EMFILE, ENETDOWN, ENETUNREACH, ENFILE, ENOBUFS, ENOMEM};
 use super::length;
 use super::network::Network;
 use std::io;
@@ -31,21 +32,7 @@
     Answer,
 }
 
-/// Error numbers of Linux.
-mod errno {
-    pub const EINTR: i32 = 4;
-    pub const EAGAIN: i32 = 11;
-    pub const ENOMEM: i32 = 12;
-    pub const ENFILE: i32 = 23;
-    pub const EMFILE: i32 = 24;
-    pub const EADDRNOTAVAIL: i32 = 99;
-    pub const ENETDOWN: i32 = 100;
-    pub const ENETUNREACH: i32 = 101;
-    pub const ENOBUFS: i32 = 105;
-}
-
 fn meaning(error: &io::Error) -> Meaning {
-    use errno::*;
     match error.raw_os_error() {
         Some(EINTR | EAGAIN | ENOMEM | ENFILE | EMFILE | EADDRNOTAVAIL | ENOBUFS) => Meaning::Short,
         Some(ENETDOWN | ENETUNREACH) => Meaning::NoWay,
--- a/crates/transport/src/gateway.rs
+++ b/crates/transport/src/gateway.rs
@@ -15,6 +15,7 @@
 use roseproxy_routing::event_log::{shortened, CloseReason, EventKind, Sink, CLOSES};
 use roseproxy_routing::flow::{Answer, FlowId, ForwardEnd, ForwardId, NewFlow, Order, ProbeEnd, Target};
 use roseproxy_routing::invariants::Violation;
+use roseproxy_routing::kinds;
 use roseproxy_routing::start_times::{Clocks, Source, StartTimes};
 use roseproxy_routing::time::{to_millis, Now};
 use roseproxy_routing::Host;
@@ -258,9 +259,7 @@
 
     /// A client's connection ends; `open` is the request on it that has no answer.
     pub(super) fn client_closed(&self, reason: CloseReason, open: Option<FlowId>) {
-        if let Some(at) = CLOSES.iter().position(|(r, _)| *r == reason) {
-            self.traffic.closes.borrow_mut()[at] += 1;
-        }
+        kinds::add(&mut *self.traffic.closes.borrow_mut(), &CLOSES, reason);
         let mut host = self.host.borrow_mut();
         host.events.record(self.now(), open, EventKind::Closed(reason));
         let by_client = matches!(reason, CloseReason::Client | CloseReason::Departed);
@@ -316,8 +315,7 @@
         ];
         lines.extend(self.host.borrow().picture());
         lines.extend(sockets.into_iter().map(|(name, count)| (name.to_owned(), count)));
-        let closes = CLOSES.iter().zip(*t.closes.borrow());
-        lines.extend(closes.map(|((_, name), count)| (format!("clients_closed_by_{name}"), count)));
+        lines.extend(kinds::named("clients_closed_by", &CLOSES, &*t.closes.borrow()));
         lines
     }
 
--- a/crates/transport/src/lib.rs
+++ b/crates/transport/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod connecting;
 pub mod connection;
 pub mod discovery;
+pub mod errno;
 mod gateway;
 mod head;
 pub mod listener;
