--- a/crates/soak/src/client.rs
+++ b/crates/soak/src/client.rs
@@ -3,6 +3,7 @@
 use crate::control::{follow, ClientConduct, Told};
 use crate::endpoint::reset;
 use crate::http::Reader;
+use crate::lag::Lag;
 use crate::records::{now, print, Class, End, Record};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -53,7 +54,10 @@
     idle: RefCell<Vec<Connection>>,
     asked: Cell<u64>,
     random: RefCell<ChaCha8Rng>,
+    lag: Lag,
     seed: u64,
+    /// What measuring may be off by (ms).
+    slack: f64,
 }
 
 /// A request that is sent, maybe more than once where its connection was closed unread.
@@ -68,11 +72,12 @@
 }
 
 /// Asks until the standard input ends.
-pub async fn run(sidecar: usize, address: SocketAddr, seed: u64) {
+pub async fn run(sidecar: usize, address: SocketAddr, seed: u64, slack: f64) {
     let random = RefCell::new(ChaCha8Rng::seed_from_u64(seed));
     let (idle, asked) = (RefCell::default(), Cell::new(0));
     let conduct = follow(|_| {});
-    let clients = Rc::new(Clients { sidecar, address, conduct, idle, asked, random, seed });
+    let lag = Lag::measure();
+    let clients = Rc::new(Clients { sidecar, address, conduct, idle, asked, random, lag, seed, slack });
     spawn_local(clients.clone().misbehave());
     loop {
         let rate = clients.conduct.borrow().rate;
@@ -176,7 +181,7 @@
     }
 
     async fn hear(&self, request: &Request, connection: &mut Connection) -> End {
-        let waits = request.leaves_after.unwrap_or(request.timeout + LISTENS_ON);
+        let waits = request.leaves_after.unwrap_or(request.timeout + LISTENS_ON + self.slack);
         if request.trails && request.leaves_after.is_some() {
             let _ = connection.stream.write_all(&[b'x'; 30_000]).await;
         }
@@ -213,6 +218,6 @@
         let mut first = [0; 1];
         let heard = tokio::time::timeout(Duration::from_secs_f64(OWED / 1e3), stream.read(&mut first)).await;
         let within = heard.is_ok().then(|| now() - began);
-        print(&Record::Misbehaved { sidecar: self.sidecar, at: now(), within });
+        print(&Record::Misbehaved { sidecar: self.sidecar, at: now(), within, lag: self.lag.millis() });
     }
 }
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -18,6 +18,8 @@
 const REST: u64 = 3_000;
 /// Violations of a rule that are printed in full.
 const SHOWN: usize = 3;
+/// How long before a violation a fault may have ended that is named with it (ms).
+const AROUND: f64 = 4_000.0;
 /// Lines of a sidecar's log that are printed for one.
 const LINES: usize = 14;
 
@@ -61,7 +63,7 @@
     let settings = Settings::draw(&mut random, how.sidecars, how.capacity);
     let plan = plan(&mut random, how.seconds);
     let (timeline, records) = LocalSet::new().block_on(&runtime, async {
-        let fleet = Fleet::new(settings, how.endpoints, &how.program, folder.path(), seed)?;
+        let fleet = Fleet::new(settings, how.endpoints, &how.program, folder.path(), (seed, how.slack))?;
         fleet.registry.borrow_mut().indented = seed % 2 == 0;
         fleet.publish().await;
         fleet.start_all().await?;
@@ -161,7 +163,7 @@
         }
         line(format!("  {violation}"));
         let crossing =
-            timeline.faults.iter().filter(|f| f.from < violation.at && f.until + 2_000.0 > violation.at);
+            timeline.faults.iter().filter(|f| f.from < violation.at && f.until + AROUND > violation.at);
         for fault in crossing {
             let (from, until) = (fault.from - violation.at, fault.until - violation.at);
             line(format!("      during {} from {from:.0} to {until:.0} ms", fault.what));
