--- a/crates/transport/src/discovery.rs
+++ b/crates/transport/src/discovery.rs
@@ -1,9 +1,10 @@
 //! The watch on discovery.
 
 use super::connecting::connect;
-use super::gateway::{count, Gateway};
+use super::gateway::Gateway;
 use super::length;
 use super::network::Network;
+use super::traffic::count;
 use crate::connection::Exchange;
 use http_body_util::BodyExt;
 use hyper::StatusCode;
--- a/crates/transport/src/gateway.rs
+++ b/crates/transport/src/gateway.rs
@@ -6,16 +6,16 @@
 use super::meter::Milestone;
 use super::network::Network;
 use super::pool::{Line, Pool};
+use super::traffic::{count, Traffic};
 use super::{length, Task};
 use hyper::header::HeaderValue;
 use hyper::StatusCode;
 use roseproxy_decision::interface::{Load, Outcome, ServerId, Update};
 use roseproxy_platform::request::{Classes, Outgoing, Passing};
 use roseproxy_platform::{load, outcome};
-use roseproxy_routing::event_log::{shortened, CloseReason, EventKind, Sink, CLOSES};
+use roseproxy_routing::event_log::{shortened, CloseReason, EventKind, Sink};
 use roseproxy_routing::flow::{Answer, FlowId, ForwardEnd, ForwardId, NewFlow, Order, ProbeEnd, Target};
 use roseproxy_routing::invariants::Violation;
-use roseproxy_routing::kinds;
 use roseproxy_routing::start_times::{Clocks, Source, StartTimes};
 use roseproxy_routing::time::{to_millis, Now};
 use roseproxy_routing::Host;
@@ -32,42 +32,6 @@
 const CONNECT_SHARE: f64 = 0.25;
 const CONNECT_LEAST: f64 = 50.0;
 
-/// What the sockets count.
-#[derive(Debug, Default)]
-pub struct Traffic {
-    /// Client connections accepted.
-    pub accepted: Cell<u64>,
-    /// Accepts that failed, as when descriptors ran out.
-    pub accept_errors: Cell<u64>,
-    /// Client connections ended with half a request, or with none within the time for the first.
-    pub late_requests: Cell<u64>,
-    /// Client connections ended as they stood idle.
-    pub closed_idle: Cell<u64>,
-    /// Forwards and probes not sent for want of a descriptor.
-    pub spent: Cell<u64>,
-    /// Requests turned away with a 4xx.
-    pub malformed: Cell<u64>,
-    /// Connections opened to targets.
-    pub opened: Cell<u64>,
-    /// Requests sent on a kept connection.
-    pub reused: Cell<u64>,
-    /// Connections to targets that did not come up.
-    pub unreachable: Cell<u64>,
-    /// Connects that failed for want of descriptors, memory or ports of this machine.
-    pub connects_failed_here: Cell<u64>,
-    /// Reports that could not be read.
-    pub bad_reports: Cell<u64>,
-    /// Discovery lines and entries that could not be read.
-    pub bad_lists: Cell<u64>,
-    /// Client connections closed by reason, in the order of [`CLOSES`].
-    pub closes: RefCell<[u64; CLOSES.len()]>,
-}
-
-/// One more.
-pub(super) fn count(cell: &Cell<u64>) {
-    cell.set(cell.get() + 1);
-}
-
 #[derive(Debug)]
 struct Waiting {
     passing: Rc<Passing>,
@@ -259,7 +223,7 @@
 
     /// A client's connection ends; `open` is the request on it that has no answer.
     pub(super) fn client_closed(&self, reason: CloseReason, open: Option<FlowId>) {
-        kinds::add(&mut *self.traffic.closes.borrow_mut(), &CLOSES, reason);
+        self.traffic.closed(reason);
         let mut host = self.host.borrow_mut();
         host.events.record(self.now(), open, EventKind::Closed(reason));
         let by_client = matches!(reason, CloseReason::Client | CloseReason::Departed);
@@ -294,28 +258,15 @@
 
     /// All counts by name.
     pub fn counts(&self) -> Vec<(String, u64)> {
-        let t = &self.traffic;
         let mut lines = self.host.borrow().book.lines();
-        let sockets = [
-            ("clients_accepted", t.accepted.get()),
-            ("accept_errors", t.accept_errors.get()),
-            ("requests_late", t.late_requests.get()),
-            ("clients_closed_idle", t.closed_idle.get()),
-            ("descriptors_spent", t.spent.get()),
-            ("requests_malformed", t.malformed.get()),
-            ("targets_connected", t.opened.get()),
-            ("targets_reused", t.reused.get()),
-            ("targets_unreachable", t.unreachable.get()),
-            ("connects_failed_here", t.connects_failed_here.get()),
-            ("reports_unread", t.bad_reports.get()),
-            ("lists_unread", t.bad_lists.get()),
+        lines.extend(self.host.borrow().picture());
+        lines.extend(self.traffic.lines());
+        let now = [
             ("discovery_revision", self.revision.get()),
             ("targets_idle", self.pool.borrow().len() as u64),
             ("targets_open", self.targets.used() as u64),
         ];
-        lines.extend(self.host.borrow().picture());
-        lines.extend(sockets.into_iter().map(|(name, count)| (name.to_owned(), count)));
-        lines.extend(kinds::named("clients_closed_by", &CLOSES, &*t.closes.borrow()));
+        lines.extend(now.map(|(name, count)| (name.to_owned(), count)));
         lines
     }
 
--- a/crates/transport/src/lib.rs
+++ b/crates/transport/src/lib.rs
@@ -20,10 +20,12 @@
 pub mod network;
 pub mod pool;
 mod tap;
+mod traffic;
 mod uninterrupted;
 
 pub use connecting::connect;
-pub use gateway::{Gateway, Traffic};
+pub use gateway::Gateway;
+pub use traffic::Traffic;
 
 use tokio::task::{AbortHandle, JoinHandle};
 
--- a/crates/transport/src/listener.rs
+++ b/crates/transport/src/listener.rs
@@ -3,10 +3,11 @@
 use super::accepting::{Accepted, Acceptor};
 use super::budget::{Budget, Permit};
 use super::client::Client;
-use super::gateway::{count, Gateway};
+use super::gateway::Gateway;
 use super::head::{Framing, Incoming, Watch};
 use super::network::{Network, Quiet};
 use super::tap::Tapped;
+use super::traffic::count;
 use super::uninterrupted::Uninterrupted;
 use super::{length, Task};
 use http_body_util::{BodyExt, Limited};
