--- a/crates/decision/src/learn.rs
+++ b/crates/decision/src/learn.rs
@@ -93,13 +93,13 @@
 
     /// Share of its capacity that a server has at least; 1 once it is warm.
     pub(crate) fn warmth(&self, slot: usize) -> f64 {
-        let (from, warm_up) = (self.settings.cold_from, self.settings.warm_up.max(1) as f64);
-        let age = |at: Option<Micros>| at.map_or(warm_up, |at| (self.now - at) as f64);
+        let ramp = self.slow_start.ramp();
+        let age = |at: Option<Micros>| at.map_or(ramp.warm_up.max(1), |at| self.now - at);
         // One that is back after it was lost has most likely started anew, which the list tells late:
         // with its old share it would be pushed over before that.
         let back = self.backends[slot].back_at.filter(|at| self.now - at < NEWS);
         let age = age(self.backends[slot].info.started_at).min(age(back));
-        from + (1.0 - from) * (age / warm_up).clamp(0.0, 1.0)
+        ramp.warmth(age)
     }
 }
 
--- a/crates/routing/src/event_log.rs
+++ b/crates/routing/src/event_log.rs
@@ -47,11 +47,11 @@
     Departed,
     /// Its last answer said so: the end of the process, a malformed request, or bytes behind the request.
     Answered,
-    /// It stood idle for long.
+    /// It stood idle for long, or its place was wanted.
     Idle,
     /// Its request did not come whole in time.
     Late,
-    /// Its place was wanted, or the process ends.
+    /// The process ends.
     Shutdown,
     /// Its client did not read its answer.
     Stalled,
--- a/crates/routing/src/invariants.rs
+++ b/crates/routing/src/invariants.rs
@@ -4,7 +4,6 @@
 
 use super::event_log::EventKind;
 use super::flow::{FlowId, ForwardId};
-use super::guard::Withheld;
 use super::kinds::name_of;
 use super::{time, Flow, Host, SPARE};
 use roseproxy_decision::interface::ServerId;
@@ -79,7 +78,7 @@
         let repeat = member.map(|m| self.may_repeat(request, id.attempt, m));
         let forbidden = match repeat {
             Some(Ok(whole_by)) => now > whole_by + SPARE,
-            Some(Err(reason)) => reason != Withheld::EndpointGone,
+            Some(Err(_)) => true,
             None => false,
         };
         let checks = [
--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -1,7 +1,7 @@
 //! The faults of a run: drawn by its seed, two or three at a time.
 
 use crate::control::{ClientConduct, EndpointConduct};
-use crate::fleet::Fleet;
+use crate::fleet::{sleep, Fleet};
 use crate::records::now;
 use crate::shim::{errno, Fault};
 use crate::timeline::Played;
@@ -9,7 +9,6 @@
 use rand::Rng;
 use rand_chacha::ChaCha8Rng;
 use std::rc::Rc;
-use std::time::Duration;
 
 /// Lengths of faults (s).
 const LENGTHS: (f64, f64) = (0.4, 3.0);
@@ -161,10 +160,6 @@
     plan
 }
 
-async fn sleep(millis: f64) {
-    tokio::time::sleep(Duration::from_secs_f64(millis.max(0.0) / 1e3)).await;
-}
-
 impl Planned {
     /// Plays it from its begin to its end.
     pub async fn play(self, fleet: Rc<Fleet>, began: f64) {
--- a/crates/soak/src/fleet.rs
+++ b/crates/soak/src/fleet.rs
@@ -147,7 +147,8 @@
     parts.iter().map(|part| part.to_string()).collect()
 }
 
-async fn sleep(millis: f64) {
+/// Waits so long (ms); not at all for less than nothing.
+pub async fn sleep(millis: f64) {
     tokio::time::sleep(Duration::from_secs_f64(millis.max(0.0) / 1e3)).await;
 }
 
