Record hold-ups of the event loop, reasons of attempts and of refusals

Events held_up and timers_late (20 ms and more) with counters held_up_*, held_up_longest_ms_* and timers_late; attempts carry first, retry or second_copy; refusals of the module carry its reason. refused_not_attempted is replaced by refused_crowded, refused_slow_start, refused_no_endpoint and refused_unknown_class. Homes count what they hold against each other (scored). Decisions are unchanged.

--- a/crates/decision/src/interface.rs
+++ b/crates/decision/src/interface.rs
@@ -340,6 +340,21 @@
     },
 }
 
+/// Why the module gives a request up.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum GiveUpReason {
+    /// Its class is unknown, or it came with no time left.
+    UnknownClass,
+    /// No server was in service until its time was nearly over.
+    NoServer,
+    /// Only cold servers were left, and they had had their budget.
+    SlowStart,
+    /// The forecast says that its answer would come too late.
+    Crowded,
+    /// Its attempts failed, and no other is allowed or affordable.
+    AttemptsFailed,
+}
+
 /// What the host is to do, in order.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Action {
@@ -365,6 +380,8 @@
         request: RequestId,
         /// How long the client should stay away.
         retry_after: Micros,
+        /// Why: for counters and logs, the client is not told.
+        reason: GiveUpReason,
     },
     /// Final answer: failed, nothing is promised.
     Fail {
--- a/crates/decision/src/policy.rs
+++ b/crates/decision/src/policy.rs
@@ -331,7 +331,8 @@
         self.copy_budget = (self.copy_budget + COPIES.0).min(COPIES.1);
         let aim = self.settings.classes.get(class).map(|c| c.aim);
         let (Some(aim), true) = (aim, time_left > 0) else {
-            return self.out.push(Action::Refuse { request: id, retry_after: 0 });
+            let reason = GiveUpReason::UnknownClass;
+            return self.out.push(Action::Refuse { request: id, retry_after: 0, reason });
         };
         let (usual, work) = (self.class_work[class], work.filter(|w| *w > 0));
         let hinted = work.is_some();
@@ -419,7 +420,7 @@
         match (what, held.pending()) {
             (WAIT, 0) if held.attempts.is_empty() && held.awaited > 0 => self.dispatch(request),
             (AGAIN, 1) if !held.streaming => drop(self.repeat(request, 1.0)),
-            (HOLD, 0) => self.finish(request),
+            (HOLD, 0) => self.finish(request, GiveUpReason::NoServer),
             _ => {}
         }
     }
@@ -536,14 +537,14 @@
                 let after = (deadline - self.now - self.settings.answer_grace).max(0);
                 self.out.push(Action::Timer { token: request << 3 | HOLD, after });
             } else if self.requests.get(&request).is_some_and(|h| h.pending() == 0) {
-                self.finish(request);
+                self.finish(request, GiveUpReason::AttemptsFailed);
             }
             return;
         };
         if refuse {
             let since = *self.shut_since.get_or_insert(self.now);
             if ((self.now - since) as f64) < FORGET {
-                return self.finish(request);
+                return self.finish(request, GiveUpReason::Crowded);
             }
             // Who refuses all hears no answers, and would by its old figures refuse for ever.
             self.guess();
@@ -605,19 +606,19 @@
         let had = if outcome == Outcome::TimedOut { 1.0 } else { elapsed as f64 / self.stay };
         let price = had.clamp(COPIES.2, 1.0);
         if !self.repeat(id, if free { 0.0 } else { price }) {
-            self.finish(id);
+            self.finish(id, GiveUpReason::AttemptsFailed);
         }
     }
 
     /// Gives the final answer: a refusal where that is true, else a failure.
-    pub(crate) fn finish(&mut self, request: RequestId) {
+    pub(crate) fn finish(&mut self, request: RequestId, reason: GiveUpReason) {
         let Some(held) = self.requests.get(&request) else { return };
         let effect = self.settings.classes[held.class].effect;
         let harmless = matches!(effect, Effect::Safe | Effect::Keyed { group: Group::All, .. });
         let retry_after = (self.stay as Micros).min(self.settings.max_retry_after);
         let refuse = harmless || held.ran().is_none();
         self.out.push(if refuse {
-            Action::Refuse { request, retry_after }
+            Action::Refuse { request, retry_after, reason }
         } else {
             Action::Fail { request }
         });
--- a/crates/decision/src/slow_start.rs
+++ b/crates/decision/src/slow_start.rs
@@ -1,6 +1,6 @@
 //! Slow start: no cold server is sent more than its budget, whatever the shares say.
 
-use crate::interface::RequestId;
+use crate::interface::{GiveUpReason, RequestId};
 use crate::state::Balancer;
 use roseproxy_fleet::draw::pick as find;
 
@@ -82,7 +82,7 @@
     /// Gives up a request for which no server bears one more call, unless an attempt of it is still out.
     pub(crate) fn finish_without_budget(&mut self, request: RequestId) {
         if self.requests.get(&request).is_some_and(|held| held.pending() == 0) {
-            self.finish(request);
+            self.finish(request, GiveUpReason::SlowStart);
         }
     }
 }
--- a/crates/fleet/src/homes.rs
+++ b/crates/fleet/src/homes.rs
@@ -4,6 +4,7 @@
 use crate::draw::{pick, uniform};
 use rand_core::SeedableRng;
 use rand_xoshiro::Xoshiro128PlusPlus;
+use std::cell::Cell;
 use std::collections::HashMap;
 
 /// What one home's part of a key may be, as a share of what a server gets of all requests. A popular key
@@ -64,6 +65,8 @@
     all: f64,
     filled: HashMap<u64, Filled>,
     settled_at: Option<i64>,
+    /// Servers held against keys so far.
+    scored: Cell<u64>,
 }
 
 impl Homes {
@@ -81,6 +84,11 @@
         }
     }
 
+    /// How often a server was held against a key so far: what the choice of homes costs.
+    pub fn scored(&self) -> u64 {
+        self.scored.get()
+    }
+
     /// The key's share of the requests, as far as one knows.
     fn share(&self, key: u64) -> f64 {
         self.counts.get(&key).copied().unwrap_or(0.0).max(1.0) / (self.all + GUESS)
@@ -128,6 +136,7 @@
     /// The servers that the key suits best, as many as its homes.
     fn ranked(&self, key: u64, fleet: Fleet) -> Vec<Place> {
         let count = homes(self.share(key), fleet.places.len(), fleet.sight);
+        self.scored.set(self.scored.get() + fleet.places.len() as u64);
         let mut ranked: Vec<(f64, Place)> =
             fleet.places.iter().map(|p| (suits(key, p.id, p.weight), *p)).collect();
         if count < ranked.len() {
--- a/crates/lab/src/recorded.rs
+++ b/crates/lab/src/recorded.rs
@@ -60,7 +60,7 @@
                 Action::Cancel { request, attempt } => {
                     (*request, format!("answered: call off attempt {attempt}"))
                 }
-                Action::Refuse { request, retry_after } => {
+                Action::Refuse { request, retry_after, .. } => {
                     (*request, format!("answered: refuse, come back in {} ms", retry_after / 1000))
                 }
                 Action::Fail { request } => (*request, "answered: fail".into()),
--- a/crates/lab/src/strategies.rs
+++ b/crates/lab/src/strategies.rs
@@ -6,7 +6,7 @@
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use roseproxy_decision::interface::{
-    Action, Effect, Event, Micros, Outcome, Readiness, RequestId, ServerId, Settings, Update,
+    Action, Effect, Event, GiveUpReason, Micros, Outcome, Readiness, RequestId, ServerId, Settings, Update,
 };
 use roseproxy_routing::decide::Decider;
 use std::collections::{BTreeMap, HashMap};
@@ -189,7 +189,7 @@
         let Some(held) = self.requests.remove(&id) else { return };
         let harmless = !held.may_have_run || self.settings.classes[held.class].effect == Effect::Safe;
         out.push(if harmless {
-            Action::Refuse { request: id, retry_after: 0 }
+            Action::Refuse { request: id, retry_after: 0, reason: GiveUpReason::AttemptsFailed }
         } else {
             Action::Fail { request: id }
         });
--- a/crates/platform/src/wire.rs
+++ b/crates/platform/src/wire.rs
@@ -427,7 +427,7 @@
                 None => writeln!(out, "FORWARD {request} {} -", name(server)),
             },
             Action::Cancel { request, attempt } => writeln!(out, "DROP_ATTEMPT {request} {attempt}"),
-            Action::Refuse { request, retry_after } => writeln!(out, "NOT_NOW {request} {retry_after}"),
+            Action::Refuse { request, retry_after, .. } => writeln!(out, "NOT_NOW {request} {retry_after}"),
             Action::Fail { request } => writeln!(out, "REPORT_FAILURE {request}"),
             Action::Timer { token, after } => writeln!(out, "TIMER {token} {after}"),
             Action::Probe { server } => writeln!(out, "ASK_LOAD {}", name(server)),
--- a/crates/routing/src/book.rs
+++ b/crates/routing/src/book.rs
@@ -1,6 +1,6 @@
 //! Stage 6: what is counted of all that.
 
-use super::event_log::{RefusalReason, REFUSALS};
+use super::event_log::{Activity, AttemptReason, RefusalReason, ACTIVITIES, ATTEMPTS, REFUSALS};
 use super::flow::Answer;
 use super::guard::{Withheld, WITHHELD};
 use super::invariants::{Violation, VIOLATIONS};
@@ -28,6 +28,14 @@
     pub forwards: u64,
     /// Forwards by outcome, in the order of [`OUTCOMES`].
     pub outcomes: [u64; 8],
+    /// Forwards by reason, in the order of [`ATTEMPTS`].
+    pub attempts: [u64; ATTEMPTS.len()],
+    /// How often the thread was held up, in the order of [`ACTIVITIES`].
+    pub held_up: [u64; ACTIVITIES.len()],
+    /// How long at most (whole ms), in the same order.
+    pub longest_held_up: [u64; ACTIVITIES.len()],
+    /// How often timers went off late, and how late at most (whole ms).
+    pub timers_late: (u64, u64),
     /// Attempts withheld by reason, in the order of [`WITHHELD`].
     pub withheld: [u64; WITHHELD.len()],
     /// Refusals by reason, in the order of [`REFUSALS`].
@@ -77,6 +85,23 @@
         add(&mut self.refusals, &REFUSALS, reason);
     }
 
+    pub(super) fn attempted(&mut self, reason: AttemptReason) {
+        add(&mut self.attempts, &ATTEMPTS, reason);
+    }
+
+    pub(super) fn held_up(&mut self, activity: Activity, millis: f64) {
+        add(&mut self.held_up, &ACTIVITIES, activity);
+        let at = ACTIVITIES.iter().position(|(known, _)| *known == activity);
+        if let Some(longest) = at.map(|at| &mut self.longest_held_up[at]) {
+            *longest = (*longest).max(millis as u64);
+        }
+    }
+
+    pub(super) fn timers_late(&mut self, millis: f64) {
+        let (count, longest) = self.timers_late;
+        self.timers_late = (count + 1, longest.max(millis as u64));
+    }
+
     pub(super) fn violated(&mut self, violation: Violation) {
         add(&mut self.violations, &VIOLATIONS, violation);
     }
@@ -96,10 +121,15 @@
             ("probes_lost", self.probes_lost),
             ("discovery_lists", self.lists),
             ("discovery_failures", self.list_failures),
+            ("timers_late", self.timers_late.0),
+            ("timers_late_longest_ms", self.timers_late.1),
         ];
         let plain = plain.into_iter().map(|(name, count)| (name.to_owned(), count));
         plain
             .chain(named("forwards", &OUTCOMES, &self.outcomes))
+            .chain(named("attempts", &ATTEMPTS, &self.attempts))
+            .chain(named("held_up", &ACTIVITIES, &self.held_up))
+            .chain(named("held_up_longest_ms", &ACTIVITIES, &self.longest_held_up))
             .chain(named("attempts_withheld", &WITHHELD, &self.withheld))
             .chain(named("refused", &REFUSALS, &self.refusals))
             .chain(named("violations", &VIOLATIONS, &self.violations))
--- a/crates/routing/src/event_log.rs
+++ b/crates/routing/src/event_log.rs
@@ -5,7 +5,8 @@
 use super::flow::FlowId;
 use super::guard::Withheld;
 use super::invariants::Violation;
-use roseproxy_decision::interface::{Outcome, Readiness, ServerId};
+use super::kinds::name_of;
+use roseproxy_decision::interface::{GiveUpReason, Outcome, Readiness, ServerId};
 use std::collections::VecDeque;
 use std::fmt;
 use std::rc::Rc;
@@ -24,20 +25,89 @@
     NoRoom,
     /// The client has no time left.
     NoTime,
-    /// The module refused it before any attempt.
-    NotAttempted,
+    /// The module knows no such class.
+    UnknownClass,
+    /// No endpoint was in service until its time was nearly over.
+    NoEndpoint,
+    /// Only cold endpoints were left, and they had had their budget.
+    SlowStart,
+    /// The module forecast an answer that comes too late.
+    Crowded,
     /// The module gave it up after attempts that did it no harm.
     AttemptsFailed,
 }
 
 /// All reasons of refusals with the names that they are counted under.
-pub const REFUSALS: [(RefusalReason, &str); 4] = [
+pub const REFUSALS: [(RefusalReason, &str); 7] = [
     (RefusalReason::NoRoom, "no_room"),
     (RefusalReason::NoTime, "no_time"),
-    (RefusalReason::NotAttempted, "not_attempted"),
+    (RefusalReason::UnknownClass, "unknown_class"),
+    (RefusalReason::NoEndpoint, "no_endpoint"),
+    (RefusalReason::SlowStart, "slow_start"),
+    (RefusalReason::Crowded, "crowded"),
     (RefusalReason::AttemptsFailed, "attempts_failed"),
 ];
 
+impl From<GiveUpReason> for RefusalReason {
+    fn from(reason: GiveUpReason) -> RefusalReason {
+        match reason {
+            GiveUpReason::UnknownClass => RefusalReason::UnknownClass,
+            GiveUpReason::NoServer => RefusalReason::NoEndpoint,
+            GiveUpReason::SlowStart => RefusalReason::SlowStart,
+            GiveUpReason::Crowded => RefusalReason::Crowded,
+            GiveUpReason::AttemptsFailed => RefusalReason::AttemptsFailed,
+        }
+    }
+}
+
+/// Why an attempt was ordered.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum AttemptReason {
+    /// It is the request's first one.
+    First,
+    /// All attempts before it have ended without an answer.
+    Retry,
+    /// An earlier attempt is still out.
+    SecondCopy,
+}
+
+/// All reasons of attempts with the names that they are counted under.
+pub const ATTEMPTS: [(AttemptReason, &str); 3] = [
+    (AttemptReason::First, "first"),
+    (AttemptReason::Retry, "retry"),
+    (AttemptReason::SecondCopy, "second_copy"),
+];
+
+/// What the one thread of the program was busy with.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Activity {
+    /// Taking a request in, and deciding on it.
+    Request,
+    /// The end of an attempt, and deciding what follows.
+    AttemptEnd,
+    /// The end of a probe.
+    ProbeEnd,
+    /// A client's departure.
+    Departure,
+    /// Timers that were due.
+    Timers,
+    /// Reading a list from its text.
+    ReadingList,
+    /// Taking a list over.
+    List,
+}
+
+/// All activities with the names that they are counted under.
+pub const ACTIVITIES: [(Activity, &str); 7] = [
+    (Activity::Request, "request"),
+    (Activity::AttemptEnd, "attempt_end"),
+    (Activity::ProbeEnd, "probe_end"),
+    (Activity::Departure, "departure"),
+    (Activity::Timers, "timers"),
+    (Activity::ReadingList, "reading_list"),
+    (Activity::List, "list"),
+];
+
 /// Why a client's connection ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum CloseReason {
@@ -84,6 +154,8 @@
     AttemptOrdered {
         /// Its number.
         attempt: usize,
+        /// Why.
+        reason: AttemptReason,
         /// Where it goes.
         endpoint: ServerId,
         /// How long its answer is awaited (ms).
@@ -138,6 +210,18 @@
     WatchSilent,
     /// Discovery sent what is no list.
     BadList(Box<str>),
+    /// The one thread of the program did nothing else for so long (ms).
+    HeldUp {
+        /// By what.
+        activity: Activity,
+        /// How long.
+        millis: f64,
+    },
+    /// Timers went off so late (ms), as the thread was busy or had no processor.
+    TimersLate {
+        /// How late.
+        millis: f64,
+    },
     /// An invariant was violated.
     Violated(Violation),
 }
@@ -167,8 +251,9 @@
             EventKind::Taken { client_id, class, time_left } => {
                 write!(f, " taken id={client_id} class={class} time_left={time_left:.0}")
             }
-            EventKind::AttemptOrdered { attempt, endpoint, patience } => {
-                write!(f, " attempt={attempt} ordered endpoint={:016x} patience={patience:.0}", endpoint.0)
+            EventKind::AttemptOrdered { attempt, reason, endpoint, patience } => {
+                let (reason, endpoint) = (name_of(&ATTEMPTS, *reason), endpoint.0);
+                write!(f, " attempt={attempt} ordered reason={reason} endpoint={endpoint:016x} patience={patience:.0}")
             }
             EventKind::AttemptWithheld { attempt, reason } => {
                 write!(f, " attempt={attempt} withheld reason={}", reason.name())
@@ -189,6 +274,10 @@
             EventKind::WatchFailed => write!(f, " watch_failed"),
             EventKind::WatchSilent => write!(f, " watch_silent"),
             EventKind::BadList(reason) => write!(f, " discovery sent what is no list: {reason}"),
+            EventKind::HeldUp { activity, millis } => {
+                write!(f, " held_up activity={} for={millis:.1}", name_of(&ACTIVITIES, *activity))
+            }
+            EventKind::TimersLate { millis } => write!(f, " timers_late by={millis:.1}"),
             EventKind::Violated(violation) => write!(f, " VIOLATED {}", violation.name()),
         }
     }
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -28,7 +28,7 @@
 
 use book::Book;
 use decide::Decider;
-use event_log::{EventKind, EventLog, RefusalReason};
+use event_log::{Activity, EventKind, EventLog, RefusalReason};
 use flow::{FlowId, ForwardId, Order, Target};
 use roseproxy_decision::interface::{Action, ClassId, Micros, Outcome, Readiness, ServerId, Settings};
 use roseproxy_decision::policy::Balancer;
@@ -43,6 +43,10 @@
 /// How long a probe may take (ms): a report that comes later tells nothing of now.
 pub const PROBE_PATIENCE: f64 = 300.0;
 
+/// How long the one thread must have done nothing else for that to be recorded (ms): requests wait unread meanwhile, and what
+/// was checked before may not hold any more.
+const HELD_UP: f64 = 20.0;
+
 #[derive(Debug)]
 struct Flow {
     /// When its answer must be out, in clock time.
@@ -213,6 +217,22 @@
         .to_vec()
     }
 
+    /// The one thread was busy with this for so long (ms).
+    pub fn held_up(&mut self, now: f64, activity: Activity, millis: f64) {
+        if millis >= HELD_UP {
+            self.book.held_up(activity, millis);
+            self.events.record(now, None, EventKind::HeldUp { activity, millis });
+        }
+    }
+
+    /// Timers went off so late (ms).
+    pub fn timers_late(&mut self, now: f64, millis: f64) {
+        if millis >= HELD_UP {
+            self.book.timers_late(millis);
+            self.events.record(now, None, EventKind::TimersLate { millis });
+        }
+    }
+
     /// Times and figures that the platform set.
     pub fn settings(&self) -> &Settings {
         &self.settings
--- a/crates/routing/src/route.rs
+++ b/crates/routing/src/route.rs
@@ -2,7 +2,7 @@
 
 use super::flow::{Answer, Order, ProbeEnd};
 use super::timers::Due;
-use super::{micros_since, time, Host, RefusalReason, PROBE_PATIENCE};
+use super::{micros_since, time, Host, PROBE_PATIENCE};
 use roseproxy_decision::interface::{Action, Event, Outcome, ServerId};
 
 impl Host {
@@ -38,11 +38,8 @@
         match action {
             Action::Send { request, server, timeout } => self.send(now, request, server, timeout),
             Action::Cancel { request, attempt } => self.cancel(now, request, attempt),
-            Action::Refuse { request, retry_after } => {
-                let attempted = self.flows.get(&request).is_some_and(|f| f.attempts > 0);
-                let reason =
-                    if attempted { RefusalReason::AttemptsFailed } else { RefusalReason::NotAttempted };
-                self.refuse(now, request, time::to_millis(retry_after), reason);
+            Action::Refuse { request, retry_after, reason } => {
+                self.refuse(now, request, time::to_millis(retry_after), reason.into());
             }
             Action::Fail { request } => self.answer(now, request, Answer::Failed),
             Action::Timer { token, after } => {
--- a/crates/routing/src/send.rs
+++ b/crates/routing/src/send.rs
@@ -1,5 +1,6 @@
 //! Stage 4: forwards go out, and end exactly once each.
 
+use super::event_log::AttemptReason;
 use super::flow::{Answer, FlowId, ForwardEnd, ForwardId, Order};
 use super::guard::{Withheld, WritePermit};
 use super::timers::Due;
@@ -15,6 +16,7 @@
         let id = ForwardId { flow, attempt: open.attempts };
         open.attempts += 1;
         let left = open.deadline - now;
+        let reason = self.attempt_reason(id);
         let patience = timeout.map_or(left, |t| time::to_millis(t).min(left));
         if let Err(reason) = self.may_send(now, id, target, patience) {
             return self.withhold(now, id, target, reason);
@@ -23,14 +25,25 @@
             return self.withhold(now, id, target, Withheld::EndpointGone);
         };
         self.book.forwards += 1;
+        self.book.attempted(reason);
         self.note_call(now, target);
         self.forwards.insert(id, Forward { target, sent: now, written: false });
         self.timers.set(now + patience, Due::Forward(id));
-        let ordered = EventKind::AttemptOrdered { attempt: id.attempt, endpoint: target, patience };
+        let ordered = EventKind::AttemptOrdered { attempt: id.attempt, reason, endpoint: target, patience };
         self.events.record(now, Some(id.flow), ordered);
         self.orders.push_back(Order::Forward { id, target, address, patience });
     }
 
+    /// Why this attempt is made, by the attempts before it.
+    fn attempt_reason(&self, id: ForwardId) -> AttemptReason {
+        let is_out = |attempt| self.forwards.contains_key(&ForwardId { attempt, ..id });
+        match id.attempt {
+            0 => AttemptReason::First,
+            earlier if (0..earlier).any(is_out) => AttemptReason::SecondCopy,
+            _ => AttemptReason::Retry,
+        }
+    }
+
     /// An attempt that may not be sent has ended before it began.
     fn withhold(&mut self, now: f64, id: ForwardId, target: ServerId, reason: Withheld) {
         self.note_withheld(now, id, reason);
--- a/crates/transport/src/discovery.rs
+++ b/crates/transport/src/discovery.rs
@@ -10,7 +10,7 @@
 use hyper::StatusCode;
 use roseproxy_platform::discovery::{self, Listing, WatchDecoder, WatchFrame};
 use roseproxy_platform::request::Outgoing;
-use roseproxy_routing::event_log::EventKind;
+use roseproxy_routing::event_log::{Activity, EventKind};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use tokio::sync::watch;
@@ -136,7 +136,10 @@
     /// Takes over a list; what cannot be read is counted, and the list in hand stays.
     fn take(&mut self, text: &[u8]) {
         let traffic = &self.gateway.traffic;
-        match discovery::read(text) {
+        let began = self.gateway.now();
+        let listing = discovery::read(text);
+        self.gateway.note_held_up(Activity::ReadingList, began);
+        match listing {
             Ok(Listing { revision, update, targets, unread }) => {
                 traffic.bad_lists.set(traffic.bad_lists.get() + unread as u64);
                 // One that is behind the list in hand may be older than the word of a drain. It may also come from a
--- a/crates/transport/src/gateway.rs
+++ b/crates/transport/src/gateway.rs
@@ -13,7 +13,7 @@
 use roseproxy_decision::interface::{Load, Outcome, ServerId, Update};
 use roseproxy_platform::request::{Classes, Outgoing, Passing};
 use roseproxy_platform::{load, outcome};
-use roseproxy_routing::event_log::{shortened, CloseReason, EventKind, Sink};
+use roseproxy_routing::event_log::{shortened, Activity, CloseReason, EventKind, Sink};
 use roseproxy_routing::flow::{Answer, FlowId, ForwardEnd, ForwardId, NewFlow, Order, ProbeEnd, Target};
 use roseproxy_routing::invariants::Violation;
 use roseproxy_routing::start_times::{Clocks, Source, StartTimes};
@@ -124,7 +124,7 @@
             return None;
         }
         let (answer, receiver) = oneshot::channel();
-        let id = self.host.borrow_mut().take_in(self.now(), new);
+        let id = self.timed(Activity::Request, |host, now| host.take_in(now, new));
         let client_id = shortened(passing.id.as_bytes());
         let taken = EventKind::Taken { client_id, class: new.class, time_left: new.time_left };
         self.host.borrow_mut().events.record(self.now(), Some(id), taken);
@@ -145,7 +145,7 @@
     /// The client of a flow has left. Of one that has its answer this changes nothing.
     pub fn client_gone(self: &Rc<Self>, id: FlowId) {
         if self.end_wait(id).is_some() {
-            self.host.borrow_mut().client_gone(self.now(), id);
+            self.timed(Activity::Departure, |host, now| host.client_gone(now, id));
             self.settle();
         }
     }
@@ -173,7 +173,7 @@
         if behind {
             self.host.borrow().keep_leaving(&mut targets);
         }
-        self.host.borrow_mut().targets(program, update, &targets);
+        self.timed(Activity::List, |host, now| host.targets(now, update, &targets));
         self.settle();
     }
 
@@ -284,7 +284,8 @@
                 },
                 None => self.rearm.notified().await,
             }
-            self.host.borrow_mut().tick(self.now());
+            self.note_late_timers(due);
+            self.timed(Activity::Timers, |host, now| host.tick(now));
             self.settle();
         }
     }
@@ -297,6 +298,28 @@
         }
     }
 
+    /// Does something with the host; how long it held up the program's one thread is recorded.
+    fn timed<T>(&self, activity: Activity, act: impl FnOnce(&mut Host, f64) -> T) -> T {
+        let began = self.now();
+        let done = act(&mut self.host.borrow_mut(), began);
+        self.note_held_up(activity, began);
+        done
+    }
+
+    /// The one thread was busy with this since then (ms).
+    pub(super) fn note_held_up(&self, activity: Activity, began: f64) {
+        let now = self.now();
+        self.host.borrow_mut().held_up(now, activity, now - began);
+    }
+
+    /// Timers that were due then go off only now.
+    fn note_late_timers(&self, due: Option<f64>) {
+        let now = self.now();
+        if let Some(late) = due.map(|due| now - due) {
+            self.host.borrow_mut().timers_late(now, late);
+        }
+    }
+
     /// Carries out what routing has ordered, in order.
     fn settle(self: &Rc<Self>) {
         loop {
@@ -353,7 +376,7 @@
             Ok(line) => self.exchange(id, target, until, &wait, line).await,
             Err(outcome) => (ForwardEnd::Lost(outcome), None),
         };
-        self.host.borrow_mut().forward_ended(self.now(), id, end, load);
+        self.timed(Activity::AttemptEnd, |host, now| host.forward_ended(now, id, end, load));
         self.settle();
         // Last, as it ends this very task.
         self.forwards.borrow_mut().remove(&id);
@@ -417,7 +440,7 @@
                 Exchange::Broke { .. } => ProbeEnd { outcome: Outcome::Broken, load: None },
             },
         };
-        self.host.borrow_mut().probe_ended(self.now(), target, end);
+        self.timed(Activity::ProbeEnd, |host, now| host.probe_ended(now, target, end));
         self.settle();
         self.probes.borrow_mut().remove(&target);
     }
