Fill one key's homes with each request, in place of all keys' homes once a second

Cause: Homes::settle held every key against every endpoint in one event, once a second: 25 ms of a whole core for 329 keys and 3,200 endpoints, and the program has one thread. Change: a request fills its own key into its homes beside what the other keys have there (parts are kept in requests as they were counted, so that they need not be filled again as all grows); a key's homes are found anew once a second at most. The tests of homes move to a test file, their bounds unchanged.

--- a/crates/fleet/src/homes.rs
+++ b/crates/fleet/src/homes.rs
@@ -4,7 +4,6 @@
 use crate::draw::{pick, uniform};
 use rand_core::SeedableRng;
 use rand_xoshiro::Xoshiro128PlusPlus;
-use std::cell::Cell;
 use std::collections::HashMap;
 
 /// What one home's part of a key may be, as a share of what a server gets of all requests. A popular key
@@ -16,15 +15,16 @@
 const SPARE: f64 = 2.0;
 /// Requests after which older ones count half, and keys that are counted at most.
 const RECENT: f64 = 512.0;
-const MOST_KEYS: usize = 1024;
+/// Keys that are counted at most.
+pub const MOST_KEYS: usize = 1024;
 /// Requests that the first guess counts for: that a key met for the first time is a twentieth of all. To
 /// whoever has seen little every key may be a popular one, and where all start at once, each popular key
 /// would crowd the few homes of a rare one.
 const GUESS: f64 = 20.0;
-/// How long homes and their parts stay as they are (microseconds).
+/// How long a key's homes stay as they are (microseconds).
 const SETTLED: i64 = 1_000_000;
-/// How often each key's parts are filled anew against those of all others.
-const ROUNDS: usize = 3;
+/// What rounding leaves of a part that was taken back.
+const NOTHING: f64 = 1e-9;
 
 /// A server that may be a home.
 #[derive(Clone, Copy, Debug)]
@@ -58,24 +58,42 @@
     pub bound: f64,
 }
 
+impl Fleet<'_> {
+    fn has(&self, place: &Place) -> bool {
+        self.places.binary_search_by_key(&place.id, |p| p.id).is_ok()
+    }
+}
+
 /// The homes of keys, as one sidecar sees them by the popularity of what it is asked for itself.
+///
+/// A request fills its own key into its homes, beside what the other keys have put there: the cost of
+/// one request grows with the servers, and not with servers times keys.
 #[derive(Debug, Default)]
 pub struct Homes {
+    /// Requests by key, of late.
     counts: HashMap<u64, f64>,
     all: f64,
     filled: HashMap<u64, Filled>,
-    settled_at: Option<i64>,
+    /// What each server gets as a home of all keys, in requests as `counts` has them.
+    loads: HashMap<u64, f64>,
     /// Servers held against keys so far.
-    scored: Cell<u64>,
+    scored: u64,
+}
+
+/// A key's homes with the requests which each gets of it, and those left over.
+#[derive(Debug)]
+struct Filled {
+    homes: Vec<(Place, f64)>,
+    left: f64,
+    /// When the homes were found (microseconds).
+    ranked_at: i64,
 }
 
 impl Homes {
     /// Counts a request for a key.
     pub fn saw(&mut self, key: u64) {
         if self.all >= RECENT {
-            self.all /= 2.0;
-            self.counts.values_mut().for_each(|c| *c /= 2.0);
-            self.counts.retain(|_, c| *c >= 0.5);
+            self.halve();
         }
         self.all += 1.0;
         // Keys that never end would fill the memory: past the bound only those that came before count.
@@ -84,22 +102,55 @@
         }
     }
 
+    /// Has all that was counted so far count half, and forgets keys that are next to nothing then.
+    fn halve(&mut self) {
+        self.all /= 2.0;
+        self.counts.values_mut().for_each(|c| *c /= 2.0);
+        self.counts.retain(|_, c| *c >= 0.5);
+        self.loads.values_mut().for_each(|load| *load /= 2.0);
+        for filled in self.filled.values_mut() {
+            filled.left /= 2.0;
+            filled.homes.iter_mut().for_each(|(_, part)| *part /= 2.0);
+        }
+        let mut forgotten: Vec<u64> =
+            self.filled.keys().copied().filter(|key| !self.counts.contains_key(key)).collect();
+        forgotten.sort_unstable(); // nothing may depend on the order of a hash table
+        forgotten.into_iter().for_each(|key| drop(self.take_back(key)));
+    }
+
     /// How often a server was held against a key so far: what the choice of homes costs.
     pub fn scored(&self) -> u64 {
-        self.scored.get()
+        self.scored
+    }
+
+    /// Keys whose requests are counted.
+    pub fn keys(&self) -> usize {
+        self.counts.len()
+    }
+
+    /// Keys that have homes.
+    pub fn keys_at_home(&self) -> usize {
+        self.filled.len()
     }
 
     /// The key's share of the requests, as far as one knows.
-    fn share(&self, key: u64) -> f64 {
-        self.counts.get(&key).copied().unwrap_or(0.0).max(1.0) / (self.all + GUESS)
+    pub fn share(&self, key: u64) -> f64 {
+        self.requests(key) / self.all_requests()
+    }
+
+    fn requests(&self, key: u64) -> f64 {
+        self.counts.get(&key).copied().unwrap_or(0.0).max(1.0)
+    }
+
+    fn all_requests(&self) -> f64 {
+        self.all + GUESS
     }
 
     /// One of the key's homes, drawn (with a number from 0 to 1) by their parts. `None` without any place,
     /// and for what is more than the homes may get.
     pub fn home(&mut self, key: u64, fleet: Fleet, now: i64, draw: f64) -> Option<u64> {
-        if self.settled_at.is_none_or(|at| now - at > SETTLED) {
-            self.settle(fleet);
-            self.settled_at = Some(now);
+        if self.counts.contains_key(&key) {
+            self.fill(key, fleet, now);
         }
         let (parts, left) = self.parts(key, fleet);
         let shares = || parts.iter().map(|(_, part)| *part).chain([left]);
@@ -109,10 +160,9 @@
     }
 
     /// The key's homes with their parts, and the part that is for none of them.
-    fn parts(&self, key: u64, fleet: Fleet) -> (Vec<(Place, f64)>, f64) {
-        let present = |p: &Place| fleet.places.binary_search_by_key(&p.id, |p| p.id).is_ok();
+    fn parts(&mut self, key: u64, fleet: Fleet) -> (Vec<(Place, f64)>, f64) {
         if let Some(filled) = self.filled.get(&key) {
-            let (homes, departed): (Vec<_>, Vec<_>) = filled.homes.iter().partition(|(p, _)| present(p));
+            let (homes, departed): (Vec<_>, Vec<_>) = filled.homes.iter().partition(|(p, _)| fleet.has(p));
             if !homes.is_empty() {
                 // What the departed had is not for cold servers to take over.
                 let some_cold = homes.iter().any(|(p, _): &(Place, f64)| p.is_bounded());
@@ -120,7 +170,7 @@
                 return (homes, filled.left + if some_cold { orphaned } else { 0.0 });
             }
         }
-        // Not met before, or all its homes have left since.
+        // Not counted, or all its homes have left since.
         let homes = self.ranked(key, fleet);
         // Each server is a home of that many keys like this one, compared with its share of the keys.
         let spread = fleet.places.len() as f64 / homes.len().max(1) as f64;
@@ -134,9 +184,9 @@
     }
 
     /// The servers that the key suits best, as many as its homes.
-    fn ranked(&self, key: u64, fleet: Fleet) -> Vec<Place> {
-        let count = homes(self.share(key), fleet.places.len(), fleet.sight);
-        self.scored.set(self.scored.get() + fleet.places.len() as u64);
+    fn ranked(&mut self, key: u64, fleet: Fleet) -> Vec<Place> {
+        self.scored += fleet.places.len() as u64;
+        let count = home_count(self.share(key), fleet.places.len(), fleet.sight);
         let mut ranked: Vec<(f64, Place)> =
             fleet.places.iter().map(|p| (suits(key, p.id, p.weight), *p)).collect();
         if count < ranked.len() {
@@ -146,65 +196,82 @@
         ranked.into_iter().map(|(_, place)| place).collect()
     }
 
-    /// Finds each key's homes and shares the keys out among them, each where the others leave room. All
-    /// sidecars do this by what they see; where they differ, they still draw from the same homes.
-    fn settle(&mut self, fleet: Fleet) {
-        let mut keys: Vec<(u64, f64)> = self.counts.iter().map(|(key, count)| (*key, *count)).collect();
-        keys.sort_unstable_by(|a, b| b.1.total_cmp(&a.1).then(a.0.cmp(&b.0)));
+    /// Shares the key's requests out among its homes, which are found anew once a second at most, where the other keys leave
+    /// room. All sidecars do this by what they see; where they differ, they still draw from the same homes.
+    fn fill(&mut self, key: u64, fleet: Fleet, now: i64) {
+        let known = self.take_back(key).filter(|known| now - known.ranked_at <= SETTLED);
+        let (requests, all) = (self.requests(key), self.all_requests());
         let capacity = fleet.places.iter().map(|p| p.capacity).sum::<f64>();
-        let most = fleet.bound / capacity.max(1e-9);
-        let mut loads: HashMap<u64, f64> = HashMap::new();
-        let empty = |(key, _)| {
-            let homes = self.ranked(key, fleet).into_iter().map(|p| (p, 0.0)).collect();
-            (key, Filled { homes, left: self.share(key) })
+        let most = fleet.bound * all / capacity.max(1e-9);
+        let (ranked, ranked_at) = match known {
+            Some(known) => (known.homes.into_iter().map(|(place, _)| place).collect(), known.ranked_at),
+            None => (self.ranked(key, fleet), now),
         };
-        let mut filled: Vec<(u64, Filled)> = keys.into_iter().map(empty).collect();
-        for _ in 0..ROUNDS {
-            for (key, Filled { homes, left }) in &mut filled {
-                let share = self.share(*key);
-                homes.iter().for_each(|(p, part)| *loads.entry(p.id).or_default() -= part);
-                level(homes, share, &loads, most);
-                homes.iter().for_each(|(p, part)| *loads.entry(p.id).or_default() += part);
-                let over = share - homes.iter().map(|(_, part)| part).sum::<f64>();
-                // Rounding must leave nobody without a home who has one.
-                *left = if over < 1e-9 { 0.0 } else { over };
+        let load = |p: &Place| self.loads.get(&p.id).copied().unwrap_or(0.0);
+        let loaded: Vec<Loaded> =
+            ranked.into_iter().map(|p| Loaded::new(p, load(&p), p.most * all)).collect();
+        let homes = level(loaded, requests, most);
+        for (place, part) in &homes {
+            *self.loads.entry(place.id).or_default() += part;
+        }
+        let over = requests - homes.iter().map(|(_, part)| part).sum::<f64>();
+        // Rounding must leave nobody without a home who has one.
+        let left = if over < NOTHING * all { 0.0 } else { over };
+        self.filled.insert(key, Filled { homes, left, ranked_at });
+    }
+
+    /// Takes a key's requests out of its homes.
+    fn take_back(&mut self, key: u64) -> Option<Filled> {
+        let filled = self.filled.remove(&key)?;
+        for (place, part) in &filled.homes {
+            let Some(load) = self.loads.get_mut(&place.id) else { continue };
+            *load -= part;
+            if *load <= NOTHING {
+                self.loads.remove(&place.id);
             }
         }
-        self.filled = filled.into_iter().collect();
+        Some(filled)
     }
 }
 
-/// A key's homes with the part of the requests which each gets of it, and what is left over.
-#[derive(Debug)]
-struct Filled {
-    homes: Vec<(Place, f64)>,
-    left: f64,
+/// A home with what it has of other keys, and the most that it may have.
+struct Loaded {
+    place: Place,
+    load: f64,
+    /// That for each unit of its capacity.
+    full: f64,
+    most: f64,
 }
 
-/// Fills a key's share into its homes up to one level of load for each unit of capacity, to `most` of it, and to what
+impl Loaded {
+    fn new(place: Place, load: f64, most: f64) -> Loaded {
+        Loaded { place, load, full: load / place.capacity.max(1e-9), most }
+    }
+}
+
+/// Fills a key's requests into its homes up to one level of load for each unit of capacity, to `most` of it, and to what
 /// each of them may get.
-fn level(homes: &mut [(Place, f64)], share: f64, loads: &HashMap<u64, f64>, most: f64) {
-    let load = |p: &Place| loads.get(&p.id).copied().unwrap_or(0.0);
-    let full = |p: &Place| load(p) / p.capacity.max(1e-9);
-    homes.sort_unstable_by(|a, b| full(&a.0).total_cmp(&full(&b.0)).then(a.0.id.cmp(&b.0.id)));
-    let (mut sum, mut capacity, mut level) = (share, 0.0, 0.0);
-    for (p, _) in homes.iter() {
-        if capacity > 0.0 && full(p) >= level {
+fn level(mut homes: Vec<Loaded>, requests: f64, most: f64) -> Vec<(Place, f64)> {
+    homes.sort_unstable_by(|a, b| a.full.total_cmp(&b.full).then(a.place.id.cmp(&b.place.id)));
+    let (mut sum, mut capacity, mut level) = (requests, 0.0, 0.0);
+    for home in &homes {
+        if capacity > 0.0 && home.full >= level {
             break;
         }
-        (sum, capacity) = (sum + load(p), capacity + p.capacity.max(1e-9));
+        (sum, capacity) = (sum + home.load, capacity + home.place.capacity.max(1e-9));
         level = sum / capacity;
     }
     let level = level.min(most);
-    for (place, part) in homes.iter_mut() {
-        let filled = (level * place.capacity.max(1e-9)).min(place.most);
-        *part = (filled - load(place)).max(0.0);
-    }
+    let part = |home: &Loaded| {
+        let filled = (level * home.place.capacity.max(1e-9)).min(home.most);
+        (filled - home.load).max(0.0)
+    };
+    homes.iter().map(|home| (home.place, part(home))).collect()
 }
 
 /// Homes that a key with this share of the requests has among so many servers; one in a fleet so small
 /// that a sidecar sees all of it.
-fn homes(share: f64, servers: usize, sight: f64) -> usize {
+pub fn home_count(share: f64, servers: usize, sight: f64) -> usize {
     let homes = (share * servers as f64 / PART * (1.0 - sight)).ceil().max(1.0);
     let spare = (SPARE * (1.0 - sight)).round();
     ((homes + spare) as usize).clamp(1, servers.max(1))
@@ -218,131 +285,3 @@
     // Never 0, whose logarithm is endless.
     (mixed + f64::EPSILON / 2.0).ln() / weight
 }
-
-#[cfg(test)]
-mod tests {
-    use super::*;
-
-    fn places(count: u64) -> Vec<Place> {
-        // Two kinds, one of them half as fast, which the list does not tell.
-        (1..=count)
-            .map(|id| Place {
-                id,
-                weight: 2.0,
-                capacity: if id % 3 == 0 { 2.0 } else { 4.0 },
-                most: f64::INFINITY,
-            })
-            .collect()
-    }
-
-    fn fleet(places: &[Place], sight: f64) -> Fleet<'_> {
-        Fleet { places, sight, bound: 2.0 }
-    }
-
-    #[test]
-    fn a_popular_key_has_homes_by_its_share_and_others_few() {
-        assert!((3..=60).all(|n| homes(0.0, n, 0.1) == 3));
-        assert_eq!((homes(0.15, 60, 0.1), homes(0.016, 60, 0.1), homes(0.005, 60, 0.1)), (19, 4, 3));
-        assert_eq!((homes(1.0, 60, 0.0), homes(1.0, 0, 0.1), homes(f64::NAN, 9, 0.1)), (60, 1, 3));
-        assert_eq!(homes(0.15, 10, 1.0), 1, "a small fleet keeps one");
-    }
-
-    #[test]
-    fn shares_are_learnt_and_forgotten_within_bounds() {
-        let mut seen = Homes::default();
-        seen.saw(1);
-        assert!((0.04..0.06).contains(&seen.share(1)) && seen.share(1) == seen.share(2), "who knows");
-        (0..1000).for_each(|n| seen.saw(if n % 5 == 0 { 7 } else { 1000 + n }));
-        assert!((0.17..0.21).contains(&seen.share(7)), "{}", seen.share(7));
-        (0..100_000).for_each(|n| seen.saw(1_000_000 + n));
-        assert!(seen.share(7) < 0.003 && seen.counts.len() <= MOST_KEYS, "{}", seen.counts.len());
-        assert!(seen.home(7, fleet(&places(60), 0.1), 0, 0.5).is_some() && seen.filled.len() <= MOST_KEYS);
-    }
-
-    /// On a calm day with 300 sidecars and 182 servers the homes by hash alone gave a tenth of the servers
-    /// nearly twice what they could do and another tenth half of it: the first were crowded and turned
-    /// slow, and their keys were refused while half of the fleet stood idle.
-    #[test]
-    fn all_sidecars_together_fill_the_servers_evenly() {
-        let (sidecars, keys, places) = (80, 300_u64, places(120));
-        let popular: Vec<f64> = (1..=keys).map(|rank| 1.0 / rank as f64).collect();
-        let all: f64 = popular.iter().sum();
-        let mut rng = Xoshiro128PlusPlus::seed_from_u64(5);
-        let mut drawn = || {
-            let rank = pick(popular.iter().copied(), uniform(&mut rng) * all);
-            rank.unwrap_or(0) as u64 * 7919
-        };
-        let mut loads = vec![0.0; places.len()];
-        for _ in 0..sidecars {
-            let mut homes = Homes::default();
-            // What one sidecar sees in some twenty seconds.
-            (0..400).for_each(|_| homes.saw(drawn()));
-            for n in 0..400 {
-                let at = f64::from(n) / 400.0;
-                let home = homes.home(drawn(), fleet(&places, 0.03), 0, (at * 7.0).fract());
-                // What is more than the homes may get goes by the shares of all.
-                home.iter().for_each(|id| loads[*id as usize - 1] += 1.0);
-            }
-        }
-        let (sent, can): (f64, f64) = (loads.iter().sum(), places.iter().map(|p| p.capacity).sum());
-        let mut full: Vec<f64> =
-            loads.iter().zip(&places).map(|(l, p)| l / sent / p.capacity * can).collect();
-        full.sort_unstable_by(f64::total_cmp);
-        let (tenth, most) = (full[12], full[107]);
-        assert!(
-            tenth > 0.65 && most < 1.35,
-            "a tenth get {tenth:.2} of their part or less, a tenth {most:.2}"
-        );
-    }
-
-    #[test]
-    fn whose_homes_have_left_has_others_at_once() {
-        let mut homes = Homes::default();
-        (0..50).for_each(|_| homes.saw(7));
-        let all = places(30);
-        let first = homes.home(7, fleet(&all, 0.5), 0, 0.3).unwrap_or_default();
-        let rest: Vec<Place> = all.iter().copied().filter(|p| p.id % 2 != first % 2).collect();
-        assert!((0..20).all(|n| {
-            let home = homes.home(7, fleet(&rest, 0.5), 1, f64::from(n) / 20.0);
-            home.is_some_and(|id| rest.iter().any(|p| p.id == id))
-        }));
-        assert_eq!(homes.home(7, fleet(&[], 0.5), 2, 0.5), None);
-    }
-
-    /// All have just started and nobody has met a key before: a popular one is a tenth of what comes, and
-    /// three homes for it would get six times their part at once, which a cold server does not bear.
-    #[test]
-    fn where_all_start_at_once_a_popular_key_crowds_nobody() {
-        let (all, mut went) = (places(180), HashMap::new());
-        for n in 0..900 {
-            let mut homes = Homes::default();
-            homes.saw(7);
-            let home = homes.home(7, fleet(&all, 0.03), 0, f64::from(n) / 900.0);
-            *went.entry(home).or_insert(0.0) += 0.1 / 900.0 * 180.0;
-        }
-        let most = went.values().copied().fold(0.0, f64::max);
-        assert!(most < 2.0, "one gets {most:.1} times its part");
-    }
-
-    /// A key that is all there is, and a fleet where its few homes can do little of it: what is more than
-    /// the bound goes by the shares of all servers, and no home gets it.
-    #[test]
-    fn no_home_gets_more_than_the_bound() {
-        let mut all = places(60);
-        all.iter_mut()
-            .for_each(|p| (p.weight, p.capacity) = if p.id <= 30 { (1e3, 0.2) } else { (1.0, 4.0) });
-        let mut homes = Homes::default();
-        (0..400).for_each(|n| homes.saw(n % 4));
-        let (mut went, draws) = (HashMap::new(), 4000);
-        for n in 0..draws {
-            let at = f64::from(n) / f64::from(draws);
-            let home = homes.home(u64::from(n as u32 % 4), fleet(&all, 0.1), 0, (at * 7.0).fract());
-            *went.entry(home).or_insert(0.0) += 1.0;
-        }
-        let capacity: f64 = all.iter().map(|p| p.capacity).sum();
-        for p in &all {
-            let part = went.get(&Some(p.id)).copied().unwrap_or(0.0) / f64::from(draws);
-            assert!(part < 2.3 * p.capacity / capacity, "{} gets {part:.3}", p.id);
-        }
-    }
-}
