Large fleets: a table of shares serves many requests, and homes are found without sorting

Cause: every request looked at all endpoints several times (table, places of homes sorted by id, two fills): 611 us of a whole core at 3,200 endpoints and 300 keys. Change: a table lasts 50 us for each endpoint at least (160 ms at 3,200, 10 ms at 200), places of homes are made with it and in an order that is kept, a home that takes its whole key needs no second fill, endpoints that were sent nothing need no exponentials, and homes are found anew only where places have changed or the key's share has by a quarter.

--- a/crates/capacity/src/decisions.rs
+++ b/crates/capacity/src/decisions.rs
@@ -223,7 +223,7 @@
     let mut places: Vec<Place> =
         list.iter().map(|s| Place { id: s.id.0, weight: 1.0, capacity: 1.0, most: f64::INFINITY }).collect();
     places.sort_unstable_by_key(|p| p.id);
-    let fleet = Fleet { places: &places, sight: roseproxy_fleet::sight(sidecars), bound: 2.0 };
+    let fleet = Fleet { places: &places, generation: 0, sight: roseproxy_fleet::sight(sidecars), bound: 2.0 };
     let (mut filled, mut drawn) = (Vec::new(), Vec::new());
     for run in 0..runs.max(1) {
         let mut homes = Homes::default();
--- a/crates/decision/src/learn.rs
+++ b/crates/decision/src/learn.rs
@@ -75,6 +75,10 @@
     /// out: a send changes nothing by itself, the wait for its answer does.
     pub(crate) fn slowness(&self, slot: usize) -> f64 {
         let b = &self.backends[slot];
+        // Most servers of a large fleet are sent nothing for long.
+        if b.out == 0 && b.spent == 0.0 && b.answers == 0.0 {
+            return 1.0;
+        }
         let (spent, answers) = b.spent_by(self.now);
         // Where servers have several cores, a load of 0 is no stay of next to nothing.
         let usual = (self.work * (self.mean_load + 1.0 / b.speed.max(1e-6))).max(self.stay);
@@ -84,8 +88,9 @@
     /// The report, moved towards the fleet's mean for its capacity as it ages; the mean without any.
     pub(crate) fn effective_load(&self, slot: usize) -> f64 {
         let b = &self.backends[slot];
-        let age = b.load_at.map_or(f64::INFINITY, |at| (self.now - at).max(0) as f64);
         let mean = self.mean_load * b.capacity;
+        let Some(at) = b.load_at else { return mean };
+        let age = (self.now - at).max(0) as f64;
         // A crowd takes longer to leave, and the less one sees, the later it hears of that.
         let lasts = 8.0 * self.stay * (1.0 + (1.0 - self.sight()) * b.load / b.capacity.max(0.1));
         mean + (b.load - mean) * if b.guessed { 1.0 } else { self.trust } / (1.0 + age / lasts)
@@ -93,12 +98,16 @@
 
     /// Share of its capacity that a server has at least; 1 once it is warm.
     pub(crate) fn warmth(&self, slot: usize) -> f64 {
+        let b = &self.backends[slot];
+        if b.info.started_at.is_none() && b.back_at.is_none() {
+            return 1.0;
+        }
         let ramp = self.slow_start.ramp();
         let age = |at: Option<Micros>| at.map_or(ramp.warm_up.max(1), |at| self.now - at);
         // One that is back after it was lost has most likely started anew, which the list tells late:
         // with its old share it would be pushed over before that.
-        let back = self.backends[slot].back_at.filter(|at| self.now - at < NEWS);
-        let age = age(self.backends[slot].info.started_at).min(age(back));
+        let back = b.back_at.filter(|at| self.now - at < NEWS);
+        let age = age(b.info.started_at).min(age(back));
         ramp.warmth(age)
     }
 }
--- a/crates/decision/src/lib.rs
+++ b/crates/decision/src/lib.rs
@@ -22,10 +22,12 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
+mod affinity;
 pub mod interface;
 mod learn;
 pub mod picture;
 pub mod policy;
 mod slow_start;
 mod state;
+mod table;
 mod water_fill;
--- a/crates/decision/src/picture.rs
+++ b/crates/decision/src/picture.rs
@@ -22,6 +22,8 @@
     pub spread: f64,
     /// Smoothed share of attempts answered late or never.
     pub lateness: f64,
+    /// Tables of shares made so far: each takes a look at every server.
+    pub tables: u64,
     /// How far reports are worth more than the fleet's mean.
     pub trust: f64,
 }
@@ -41,6 +43,7 @@
             stay: self.stay,
             spread: self.spread,
             lateness: self.lateness,
+            tables: self.tables,
             trust: self.trust,
         }
     }
--- a/crates/decision/src/policy.rs
+++ b/crates/decision/src/policy.rs
@@ -8,13 +8,12 @@
 use crate::learn::NEWS;
 use crate::state::{Attempt, Backend, Held, RATE, SUSPECT};
 pub use crate::state::{Balancer, Vessel};
+use crate::table::FORGET;
 pub use crate::water_fill::water_fill;
 use rand_core::{RngCore, SeedableRng};
 use rand_xoshiro::Xoshiro128PlusPlus;
 use roseproxy_fleet::aside;
 use roseproxy_fleet::draw::pick as find;
-use roseproxy_fleet::homes::{Fleet, Place};
-use roseproxy_fleet::usual::usual_load;
 use std::collections::HashSet;
 
 /// Points that probing may cost, where only probes bring reports and where every answer brings one, which a
@@ -42,16 +41,12 @@
 const BEYOND: (f64, f64) = (6.0, 6.0);
 /// Reported load, for each unit of stated size, from which on a time-out tells of a full fleet.
 const BUSY: f64 = 0.5;
-/// Time (microseconds) in which most of what was learnt of late answers is forgotten.
-const FORGET: f64 = 1e6;
 /// Time out of reach after which a server counts as lost.
 const LOST: Micros = 500_000;
 /// Shares of capacity with room and of late answers from and up to which one full server refuses nobody.
 const ROOM: (f64, f64) = (0.85, 0.1);
-/// Time (microseconds) without a send in which most of what was learnt of one server's pace is forgotten.
-const UNHEARD: f64 = 2e6;
 /// How much emptier than the fleet a key's home counts.
-const WARM: f64 = 2.0;
+pub(crate) const WARM: f64 = 2.0;
 
 // Timer tokens: a request's id and one of these.
 const HOLD: u64 = 0;
@@ -186,7 +181,7 @@
         }
     }
 
-    fn suspect(&mut self, slot: usize) {
+    pub(crate) fn suspect(&mut self, slot: usize) {
         let jitter = 0.5 + self.uniform();
         let first = aside::first_rest(REST.0, REST.1, self.sight());
         let b = &mut self.backends[slot];
@@ -199,40 +194,30 @@
 
     // ---- shares
 
-    /// One of the servers that all balancers give a key to first, as one that met it lately does less
-    /// work for it.
-    fn home_of(&mut self, key: Option<u64>) -> Option<usize> {
-        let key = key.filter(|_| self.settings.warm_keys)?;
-        // Half of what may come to a cold server: the rest is for bursts, repeats and probes.
-        let bound = (self.settings.fall_multiple / 2.0).max(1.0);
-        let speeds: f64 = self.backends.iter().filter(|b| b.ready()).map(|b| b.speed).sum();
-        let place = |s: usize| {
-            let (b, warmth) = (&self.backends[s], self.warmth(s));
-            // What warm servers lose for a moment, slow or set aside, is not a cold one's to take over.
-            let most = match warmth < 1.0 {
-                true => (bound * b.speed / speeds).min(self.slow_start_share(s)),
-                false => f64::INFINITY,
-            };
-            Place { id: b.info.id.0, weight: b.info.power * warmth, capacity: b.capacity, most }
-        };
-        let mut places: Vec<Place> = self.usable().map(place).collect();
-        places.sort_unstable_by_key(|p| p.id);
-        let fleet = Fleet { places: &places, sight: self.sight(), bound };
-        let draw = if fleet.sight < 1.0 { self.uniform() } else { 0.0 };
-        let home = self.homes.home(key, fleet, self.now, draw)?;
-        self.slots.get(&ServerId(home)).copied()
+    /// Requests that all balancers send to each server while the figures age. What came earlier than a
+    /// request's stay has left again, so a longer age adds nothing.
+    pub(crate) fn sent_while(&self, age: f64) -> f64 {
+        let all = self.settings.balancers as f64 * self.sends() * age.min(self.stay) / 1e6;
+        all / self.backends.len().max(1) as f64
+    }
+
+    /// How full a server of mean capacity is, with so many requests sent to it meanwhile.
+    pub(crate) fn fullness(&self, each: f64) -> f64 {
+        self.mean_load * self.mean_capacity + 1.0 + 2.0 * each
+    }
+
+    /// How much fuller a server in another zone counts.
+    pub(crate) fn crossing_cost(&self, fullness: f64) -> f64 {
+        ZONE_COST * self.settings.prices.cross_zone * fullness
     }
 
     /// Fills `self.shares` for the servers in `set`, with figures of this age. A key's home counts as
     /// emptier: the fill gives it nearly all of that key until it is so much fuller than the others.
     pub(crate) fn fill(&mut self, set: &[usize], age: f64, home_at: Option<usize>) {
-        // Requests that all balancers send in while the figures age. What came earlier than a request's
-        // stay has left again, so a longer age adds nothing.
-        let all = self.settings.balancers as f64 * self.sends() * age.min(self.stay) / 1e6;
-        let each = all / self.backends.len().max(1) as f64;
+        let each = self.sent_while(age);
         let old = (INTERVAL * age / self.stay).max(1.0);
-        let fullness = self.mean_load * self.mean_capacity + 1.0 + 2.0 * each;
-        let abroad = ZONE_COST * self.settings.prices.cross_zone * fullness;
+        let fullness = self.fullness(each);
+        let abroad = self.crossing_cost(fullness);
         let m = if home_at.is_some() { 2.0 } else { (each * old * set.len() as f64).max(2.0) };
         let mut vessels = std::mem::take(&mut self.vessels);
         vessels.clear();
@@ -270,57 +255,6 @@
         self.vessels = vessels;
     }
 
-    fn refresh_table(&mut self) {
-        let now = self.now;
-        if self.table_at.is_some_and(|at| now - at < (self.stay / 8.0) as Micros) {
-            return;
-        }
-        // What came late is forgotten with time too: a sidecar that refuses all gets no answer to learn
-        // from, and would refuse for ever.
-        let passed = self.faded_at.map_or(0.0, |at| (now - at) as f64);
-        self.faded_at = Some(now);
-        self.lateness *= (-passed / FORGET).exp();
-        let (mut age, mut known) = (0.0, Vec::new());
-        let (overdue, sight) = (4.0 * self.stay + 100_000.0, self.sight());
-        let keep = self.keep();
-        for slot in 0..self.backends.len() {
-            let b = &mut self.backends[slot];
-            if b.open && b.out == 0 && (now - b.used_at) as f64 > keep {
-                b.open = false;
-                self.out.push(Action::Close { server: b.info.id });
-            }
-            if b.out > 0 && b.trouble < SUSPECT && (now - b.silent_since) as f64 > overdue {
-                // Takes work and answers none: a hang keeps its last low figure and must not draw more.
-                self.suspect(slot);
-            }
-            // Work it does in a unit of time: stated power, its kind's pace, its own, warmth.
-            let warmth = self.warmth(slot);
-            let b = &mut self.backends[slot];
-            let kind = self.kinds.get(&b.info.kind).map_or(self.pace, |k| k.pace);
-            // One that looked slow is sent little and teaches nothing: that alone must not keep it slow.
-            let unheard = (now - b.used_at).max(0) as f64 * sight / UNHEARD;
-            b.speed = b.info.power * (kind + b.pace * (-unheard).exp()).exp() * warmth;
-            let slowness = self.slowness(slot);
-            let b = &mut self.backends[slot];
-            b.capacity = b.speed / slowness;
-            if let (Readiness::Ready, Some(at), false) = (b.info.readiness, b.load_at, b.guessed) {
-                age += (now - at) as f64;
-                known.push((b.load, b.capacity));
-            }
-        }
-        if !known.is_empty() {
-            self.learn_part(&known, passed);
-            let count = known.len() as f64;
-            self.mean_load = usual_load(&known, self.sight());
-            (self.mean_capacity, age) = (known.iter().map(|(_, c)| c).sum::<f64>() / count, age / count);
-        }
-        self.observe_warm_servers();
-        let all: Vec<usize> = (0..self.backends.len()).collect();
-        self.fill(&all, if known.is_empty() { self.stay } else { age }, None);
-        std::mem::swap(&mut self.table, &mut self.shares);
-        self.table_at = Some(now);
-    }
-
     // ---- requests
 
     fn on_request(&mut self, request: Request) {
@@ -475,10 +409,13 @@
         let (aim, refusable, usual) = (class.aim as f64, ran.is_none(), self.class_work[held.class] / work);
         let (draw, fresh) = (self.uniform(), first && !set.is_empty());
         let home = self.home_of(key).filter(|h| !fresh && (first || set.contains(h)));
-        if first && home.is_some() {
+        let alone = home.filter(|h| first && self.takes_whole_key(*h));
+        if first && home.is_some() && alone.is_none() {
             set.extend(0..self.backends.len());
         }
-        let (mut pick, mut share) = if first && set.is_empty() {
+        let (mut pick, mut share) = if let Some(home) = alone {
+            (Some(home), if self.sight() < 1.0 { 0.0 } else { 1.0 })
+        } else if first && set.is_empty() {
             let slot = find(self.table.iter().copied(), draw);
             (slot, slot.map_or(0.0, |slot| self.table[slot]))
         } else {
--- a/crates/decision/src/state.rs
+++ b/crates/decision/src/state.rs
@@ -6,7 +6,7 @@
 use rand_xoshiro::Xoshiro128PlusPlus;
 use roseproxy_fleet::calls::CallSchedule;
 use roseproxy_fleet::draw;
-use roseproxy_fleet::homes::Homes;
+use roseproxy_fleet::homes::{Homes, Place};
 use roseproxy_fleet::slow_start::SlowStart;
 use roseproxy_fleet::tenants::Tenants;
 use std::collections::HashMap;
@@ -194,6 +194,16 @@
     pub(crate) table_at: Option<Micros>,
     /// Since when every first send has been refused.
     pub(crate) shut_since: Option<Micros>,
+    /// Tables made so far.
+    pub(crate) tables: u64,
+    /// How full the emptiest server of the table is, for each unit of capacity, with nothing more sent to it.
+    pub(crate) lowest_level: f64,
+    /// The servers that may be homes, by id; the table that they were made with, and how often they have changed.
+    pub(crate) places: Vec<Place>,
+    pub(crate) places_at: Option<Micros>,
+    pub(crate) places_generation: u64,
+    /// All slots that have been given away, by the servers' ids.
+    pub(crate) slots_by_id: Vec<usize>,
     /// When lateness was last let fade.
     pub(crate) faded_at: Option<Micros>,
     /// Mean reported load for each unit of capacity, and mean capacity.
@@ -262,13 +272,27 @@
     pub(crate) fn place(&mut self, id: ServerId) -> usize {
         let slot = self.free_slot().unwrap_or(self.backends.len());
         match self.backends.get_mut(slot) {
-            Some(gone) => drop(self.slots.remove(&std::mem::take(gone).info.id)),
+            Some(gone) => {
+                let gone = std::mem::take(gone).info.id;
+                self.slots.remove(&gone);
+                self.forget_order(gone, slot);
+            }
             None => self.backends.push(Backend::default()),
         }
+        self.backends[slot].info.id = id;
         self.slots.insert(id, slot);
+        let at = self.slots_by_id.partition_point(|s| self.backends[*s].info.id < id);
+        self.slots_by_id.insert(at, slot);
         slot
     }
 
+    /// Takes the slot of a server that is forgotten out of the order by ids.
+    fn forget_order(&mut self, gone: ServerId, slot: usize) {
+        let id = |s: &usize| if *s == slot { gone } else { self.backends[*s].info.id };
+        let at = self.slots_by_id.partition_point(|s| id(s) < gone);
+        self.slots_by_id.remove(at);
+    }
+
     fn free_slot(&mut self) -> Option<usize> {
         if self.backends.len() < MOST {
             return None;
@@ -336,6 +360,12 @@
             copy_budget: 0.0,
             table: Vec::new(),
             table_at: None,
+            tables: 0,
+            lowest_level: f64::NEG_INFINITY,
+            places: Vec::new(),
+            places_at: None,
+            places_generation: 0,
+            slots_by_id: Vec::new(),
             shut_since: None,
             faded_at: None,
             mean_load: 0.0,
--- a/crates/fleet/src/homes.rs
+++ b/crates/fleet/src/homes.rs
@@ -23,6 +23,8 @@
 const GUESS: f64 = 20.0;
 /// How long a key's homes stay as they are (microseconds).
 const SETTLED: i64 = 1_000_000;
+/// Homes of servers that are the same stay for longer, up to a change of their number by one in so many.
+const ABOUT: usize = 4;
 /// What rounding leaves of a part that was taken back.
 const NOTHING: f64 = 1e-9;
 
@@ -52,6 +54,8 @@
 pub struct Fleet<'a> {
     /// The servers that may be homes, by id.
     pub places: &'a [Place],
+    /// Another number whenever the ids or the weights of the places are others.
+    pub generation: u64,
     /// How much of the fleet one sidecar sees.
     pub sight: f64,
     /// How many times its part of the capacity a server may get of the requests.
@@ -85,8 +89,11 @@
 struct Filled {
     homes: Vec<(Place, f64)>,
     left: f64,
-    /// When the homes were found (microseconds).
+    /// When the homes were found (microseconds), among places of this generation.
     ranked_at: i64,
+    generation: u64,
+    /// How many there were to be.
+    count: usize,
 }
 
 impl Homes {
@@ -183,10 +190,14 @@
         (parts, if some_warm { 0.0 } else { over.max(0.0) })
     }
 
+    fn home_count(&self, key: u64, fleet: Fleet) -> usize {
+        home_count(self.share(key), fleet.places.len(), fleet.sight)
+    }
+
     /// The servers that the key suits best, as many as its homes.
     fn ranked(&mut self, key: u64, fleet: Fleet) -> Vec<Place> {
         self.scored += fleet.places.len() as u64;
-        let count = home_count(self.share(key), fleet.places.len(), fleet.sight);
+        let count = self.home_count(key, fleet);
         let mut ranked: Vec<(f64, Place)> =
             fleet.places.iter().map(|p| (suits(key, p.id, p.weight), *p)).collect();
         if count < ranked.len() {
@@ -199,13 +210,17 @@
     /// Shares the key's requests out among its homes, which are found anew once a second at most, where the other keys leave
     /// room. All sidecars do this by what they see; where they differ, they still draw from the same homes.
     fn fill(&mut self, key: u64, fleet: Fleet, now: i64) {
-        let known = self.take_back(key).filter(|known| now - known.ranked_at <= SETTLED);
+        let count = self.home_count(key, fleet);
+        let as_many = |known: &Filled| known.count.abs_diff(count) * ABOUT <= count;
+        let same = |known: &Filled| known.generation == fleet.generation && as_many(known);
+        let known = self.take_back(key).filter(|known| same(known) || now - known.ranked_at <= SETTLED);
         let (requests, all) = (self.requests(key), self.all_requests());
         let capacity = fleet.places.iter().map(|p| p.capacity).sum::<f64>();
         let most = fleet.bound * all / capacity.max(1e-9);
-        let (ranked, ranked_at) = match known {
-            Some(known) => (known.homes.into_iter().map(|(place, _)| place).collect(), known.ranked_at),
-            None => (self.ranked(key, fleet), now),
+        let found = known.map(|known| (known.ranked_at, known.generation, known.count, known.homes));
+        let (ranked_at, generation, count, ranked) = match found {
+            Some((at, generation, count, homes)) => (at, generation, count, current(homes, fleet)),
+            None => (now, fleet.generation, count, self.ranked(key, fleet)),
         };
         let load = |p: &Place| self.loads.get(&p.id).copied().unwrap_or(0.0);
         let loaded: Vec<Loaded> =
@@ -217,7 +232,7 @@
         let over = requests - homes.iter().map(|(_, part)| part).sum::<f64>();
         // Rounding must leave nobody without a home who has one.
         let left = if over < NOTHING * all { 0.0 } else { over };
-        self.filled.insert(key, Filled { homes, left, ranked_at });
+        self.filled.insert(key, Filled { homes, left, ranked_at, generation, count });
     }
 
     /// Takes a key's requests out of its homes.
@@ -234,6 +249,14 @@
     }
 }
 
+/// Known homes by what is known of them now; one that has left stays as it was.
+fn current(homes: Vec<(Place, f64)>, fleet: Fleet) -> Vec<Place> {
+    let now = |place: &Place| {
+        fleet.places.binary_search_by_key(&place.id, |p| p.id).ok().map(|at| fleet.places[at])
+    };
+    homes.into_iter().map(|(place, _)| now(&place).unwrap_or(place)).collect()
+}
+
 /// A home with what it has of other keys, and the most that it may have.
 struct Loaded {
     place: Place,
--- a/crates/fleet/tests/homes.rs
+++ b/crates/fleet/tests/homes.rs
@@ -24,7 +24,7 @@
 }
 
 fn fleet(places: &[Place], sight: f64) -> Fleet<'_> {
-    Fleet { places, sight, bound: 2.0 }
+    Fleet { places, generation: 0, sight, bound: 2.0 }
 }
 
 #[test]
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -209,6 +209,7 @@
             ("picture_stay_ms", millis(p.stay as Micros)),
             ("picture_spread_percent", (p.spread * 100.0) as u64),
             ("picture_late_percent", (p.lateness * 100.0) as u64),
+            ("picture_tables", p.tables),
             ("picture_trust_percent", (p.trust * 100.0) as u64),
             ("flows_open", self.flows.len() as u64),
             ("forwards_open", self.forwards.len() as u64),
