Ask again at the instant of each write whether an attempt may go out

Cause: begin_write allowed an attempt, and the connection's own task wrote it later. A pause between the two (homes of all keys, a stall, a busy core) had it written for a client that had left, or with a head that told the endpoint of time long gone: 'told 4980 ms, the client has 4598', 'VIOLATED attempt_after_deadline' behind 'held_up ... for=428.2'. Ruled out: the departure itself is heard of in time once the thread runs; it stands behind the write in the queue of tasks. What is broken off this way never ran and may be sent anew. Quiet becomes Peek, which tells an end from bytes.

--- a/crates/emulator/src/memory.rs
+++ b/crates/emulator/src/memory.rs
@@ -56,6 +56,17 @@
     held: Option<Held>,
 }
 
+/// What waits to be read on a stream.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Waiting {
+    /// Nothing, and more may come.
+    Nothing,
+    /// Bytes.
+    Bytes,
+    /// The end.
+    End,
+}
+
 impl MemoryStream {
     /// Both ends of a new stream.
     pub fn pair() -> (MemoryStream, MemoryStream) {
@@ -71,12 +82,17 @@
         self
     }
 
-    /// Tells whether nothing waits to be read, and the other end has closed nothing.
-    pub fn quiet(&self) -> impl Fn() -> bool {
+    /// Looks at what waits to be read.
+    pub fn peek(&self) -> impl Fn() -> Waiting {
         let incoming = self.incoming.clone();
         move || {
             let pipe = incoming.borrow();
-            pipe.buffer.is_empty() && !pipe.ended && !pipe.broken
+            match pipe.buffer.is_empty() {
+                _ if pipe.broken => Waiting::End,
+                false => Waiting::Bytes,
+                true if pipe.ended => Waiting::End,
+                true => Waiting::Nothing,
+            }
         }
     }
 
--- a/crates/emulator/tests/memory.rs
+++ b/crates/emulator/tests/memory.rs
@@ -1,7 +1,7 @@
 //! Streams in memory behave as TCP's do: data, half closes, resets, full buffers, refused and silent connects.
 
 use roseproxy_emulator::fabric::Fabric;
-use roseproxy_emulator::memory::{Memory, MemoryStream, BUFFER};
+use roseproxy_emulator::memory::{Memory, MemoryStream, Waiting, BUFFER};
 use std::cell::Cell;
 use std::io::ErrorKind;
 use std::net::SocketAddr;
@@ -21,10 +21,10 @@
 fn data_and_a_half_close_pass() {
     run(async {
         let (mut a, mut b) = MemoryStream::pair();
-        assert!(b.quiet()());
+        assert_eq!(b.peek()(), Waiting::Nothing);
         a.write_all(b"hello").await.expect("room");
         a.shutdown().await.expect("open");
-        assert!(!b.quiet()());
+        assert_eq!(b.peek()(), Waiting::Bytes);
         let mut text = String::new();
         b.read_to_string(&mut text).await.expect("data");
         assert_eq!(text, "hello");
--- a/crates/lab/src/in_process.rs
+++ b/crates/lab/src/in_process.rs
@@ -5,10 +5,10 @@
 use roseproxy::start::{serve, Surroundings};
 use roseproxy::Clock;
 use roseproxy_emulator::fabric::Fabric;
-use roseproxy_emulator::memory::{Memory, MemoryListener, MemoryStream};
+use roseproxy_emulator::memory::{Memory, MemoryListener, MemoryStream, Waiting};
 use roseproxy_emulator::world::Signal;
 use roseproxy_routing::decide::Decider;
-use roseproxy_transport::network::{Network, Quiet};
+use roseproxy_transport::network::{Network, Peek, Unread};
 use serde_json::Value;
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
@@ -36,19 +36,29 @@
         self.memory.bind(address).await
     }
 
-    async fn accept(&self, listener: &MemoryListener) -> io::Result<(MemoryStream, Quiet)> {
+    async fn accept(&self, listener: &MemoryListener) -> io::Result<(MemoryStream, Peek)> {
         let stream = self.memory.accept(listener).await?.counted(&self.held);
-        let quiet = Box::new(stream.quiet());
-        Ok((stream, quiet))
+        let peek = peek(&stream);
+        Ok((stream, peek))
     }
 
-    async fn connect(&self, address: SocketAddr) -> io::Result<(MemoryStream, Quiet)> {
+    async fn connect(&self, address: SocketAddr) -> io::Result<(MemoryStream, Peek)> {
         let stream = self.memory.connect(address).await?.counted(&self.held);
-        let quiet = Box::new(stream.quiet());
-        Ok((stream, quiet))
+        let peek = peek(&stream);
+        Ok((stream, peek))
     }
 }
 
+/// Looks at a stream in memory.
+fn peek(stream: &MemoryStream) -> Peek {
+    let look = stream.peek();
+    Rc::new(move || match look() {
+        Waiting::Nothing => Unread::Nothing,
+        Waiting::Bytes => Unread::Bytes,
+        Waiting::End => Unread::End,
+    })
+}
+
 /// One sidecar that was started.
 struct Running {
     task: JoinHandle<()>,
--- a/crates/lab/tests/discovery_return.rs
+++ b/crates/lab/tests/discovery_return.rs
@@ -8,7 +8,7 @@
 use roseproxy_routing::Host;
 use roseproxy_transport::budget::Budget;
 use roseproxy_transport::discovery::Watcher;
-use roseproxy_transport::network::{Network, Quiet};
+use roseproxy_transport::network::{Network, Peek, Unread};
 use roseproxy_transport::Gateway;
 use serde_json::json;
 use std::cell::{Cell, RefCell};
@@ -348,11 +348,11 @@
         Ok(())
     }
 
-    async fn accept(&self, (): &()) -> io::Result<(DuplexStream, Quiet)> {
+    async fn accept(&self, (): &()) -> io::Result<(DuplexStream, Peek)> {
         pending().await
     }
 
-    async fn connect(&self, _: SocketAddr) -> io::Result<(DuplexStream, Quiet)> {
+    async fn connect(&self, _: SocketAddr) -> io::Result<(DuplexStream, Peek)> {
         let way = *self.way.borrow();
         match way {
             Way::Refused => return Err(io::ErrorKind::ConnectionRefused.into()),
@@ -361,7 +361,7 @@
         }
         let (near, far) = duplex(64 << 10);
         spawn_local(self.clone().serve(far));
-        Ok((near, Box::new(|| true)))
+        Ok((near, Rc::new(|| Unread::Nothing)))
     }
 }
 
--- a/crates/roseproxy/tests/common/faulty.rs
+++ b/crates/roseproxy/tests/common/faulty.rs
@@ -1,6 +1,6 @@
 //! The system's sockets with calls that fail, as the system documents that they may.
 
-use roseproxy_transport::network::{Network, Quiet, Tcp};
+use roseproxy_transport::network::{Network, Peek, Tcp};
 use std::cell::{Cell, RefCell};
 use std::collections::VecDeque;
 use std::io::{self, Error, ErrorKind};
@@ -17,7 +17,7 @@
     /// Accepting fails with this error, where one is set.
     pub accepts: Rc<Cell<Option<i32>>>,
     /// Clients that could not be accepted yet.
-    backlog: Rc<RefCell<VecDeque<(Accepted, Quiet)>>>,
+    backlog: Rc<RefCell<VecDeque<(Accepted, Peek)>>>,
     /// Connecting fails with this error, where one is set.
     pub connects: Rc<Cell<Option<i32>>>,
     /// Every other call on a stream is interrupted first.
@@ -42,28 +42,28 @@
         Tcp.listen(address).await
     }
 
-    async fn accept(&self, listener: &TcpListener) -> io::Result<(Self::Accepted, Quiet)> {
+    async fn accept(&self, listener: &TcpListener) -> io::Result<(Self::Accepted, Peek)> {
         // The system fails a call only once there is something to accept, which stays where it is.
         if self.backlog.borrow().is_empty() || self.accepts.get().is_none() {
             let next = self.backlog.borrow_mut().pop_front();
-            let (stream, quiet) = match next {
+            let (stream, peek) = match next {
                 Some(waiting) => waiting,
                 None => Tcp.accept(listener).await?,
             };
             if self.accepts.get().is_none() {
-                return Ok((self.stream(stream), quiet));
+                return Ok((self.stream(stream), peek));
             }
-            self.backlog.borrow_mut().push_back((stream, quiet));
+            self.backlog.borrow_mut().push_back((stream, peek));
         }
         Err(Error::from_raw_os_error(self.accepts.get().unwrap_or(0)))
     }
 
-    async fn connect(&self, address: SocketAddr) -> io::Result<(Self::Opened, Quiet)> {
+    async fn connect(&self, address: SocketAddr) -> io::Result<(Self::Opened, Peek)> {
         if let Some(error) = self.connects.get() {
             return Err(Error::from_raw_os_error(error));
         }
-        let (stream, quiet) = Tcp.connect(address).await?;
-        Ok((self.stream(stream), quiet))
+        let (stream, peek) = Tcp.connect(address).await?;
+        Ok((self.stream(stream), peek))
     }
 }
 
--- a/crates/roseproxy/tests/common/gated.rs
+++ b/crates/roseproxy/tests/common/gated.rs
@@ -1,7 +1,7 @@
 //! The system's sockets with gates: each holds back one kind of event, so that two events cross in the order that a test
 //! wants.
 
-use roseproxy_transport::network::{Network, Quiet, Tcp};
+use roseproxy_transport::network::{Network, Peek, Tcp};
 use std::cell::{Cell, RefCell};
 use std::future::poll_fn;
 use std::io;
@@ -70,16 +70,16 @@
         Tcp.listen(address).await
     }
 
-    async fn accept(&self, listener: &TcpListener) -> io::Result<(Self::Accepted, Quiet)> {
-        let (stream, quiet) = Tcp.accept(listener).await?;
+    async fn accept(&self, listener: &TcpListener) -> io::Result<(Self::Accepted, Peek)> {
+        let (stream, peek) = Tcp.accept(listener).await?;
         let writes = self.next_answers.take().unwrap_or_else(|| self.answers.clone());
-        Ok((Held { stream, reads: self.reads.clone(), writes }, quiet))
+        Ok((Held { stream, reads: self.reads.clone(), writes }, peek))
     }
 
-    async fn connect(&self, address: SocketAddr) -> io::Result<(Self::Opened, Quiet)> {
+    async fn connect(&self, address: SocketAddr) -> io::Result<(Self::Opened, Peek)> {
         self.connects.passed().await;
-        let (stream, quiet) = Tcp.connect(address).await?;
-        Ok((Held { stream, reads: Rc::default(), writes: self.sends.clone() }, quiet))
+        let (stream, peek) = Tcp.connect(address).await?;
+        Ok((Held { stream, reads: Rc::default(), writes: self.sends.clone() }, peek))
     }
 }
 
--- a/crates/roseproxy/tests/common/registry.rs
+++ b/crates/roseproxy/tests/common/registry.rs
@@ -2,7 +2,7 @@
 //! Sidecars reach it over the loopback network, or over pipes in memory where there are hundreds of them.
 
 use super::{chunk, list, message, port};
-use roseproxy_transport::network::{Network, Quiet, Tcp};
+use roseproxy_transport::network::{Network, Peek, Tcp, Unread};
 use std::cell::{Cell, RefCell};
 use std::future::pending;
 use std::io::{self, ErrorKind};
@@ -244,11 +244,11 @@
         Ok(listener)
     }
 
-    async fn accept(&self, listener: &TcpListener) -> io::Result<(Self::Accepted, Quiet)> {
+    async fn accept(&self, listener: &TcpListener) -> io::Result<(Self::Accepted, Peek)> {
         Tcp.accept(listener).await
     }
 
-    async fn connect(&self, address: SocketAddr) -> io::Result<(Self::Opened, Quiet)> {
+    async fn connect(&self, address: SocketAddr) -> io::Result<(Self::Opened, Peek)> {
         if address == self.0.address {
             self.0.admit().await?;
         }
@@ -269,17 +269,17 @@
         Ok(())
     }
 
-    async fn accept(&self, (): &()) -> io::Result<(DuplexStream, Quiet)> {
+    async fn accept(&self, (): &()) -> io::Result<(DuplexStream, Peek)> {
         pending().await
     }
 
-    async fn connect(&self, address: SocketAddr) -> io::Result<(DuplexStream, Quiet)> {
+    async fn connect(&self, address: SocketAddr) -> io::Result<(DuplexStream, Peek)> {
         if address != self.0.address {
             return Err(ErrorKind::ConnectionRefused.into());
         }
         self.0.admit().await?;
         let (near, far) = tokio::io::duplex(PIPE);
         spawn_local(self.0.clone().serve(far, drop));
-        Ok((near, Box::new(|| true)))
+        Ok((near, Rc::new(|| Unread::Nothing)))
     }
 }
--- a/crates/roseproxy/tests/crossings.rs
+++ b/crates/roseproxy/tests/crossings.rs
@@ -569,8 +569,12 @@
     scene(async {
         // A pipe that holds less than the request stands for a connection that is written slowly.
         let (near, mut far) = tokio::io::duplex(64);
-        let mut connection =
-            roseproxy_transport::connection::Connection::start(near, Box::new(|| true)).await.expect("open");
+        let mut connection = roseproxy_transport::connection::Connection::start(
+            near,
+            Rc::new(|| roseproxy_transport::network::Unread::Nothing),
+        )
+        .await
+        .expect("open");
         let outgoing = roseproxy_platform::request::Outgoing::get(&format!("/{}", "x".repeat(500)), "a");
         let exchange = spawn_local(async move { connection.exchange(outgoing).await });
         turns().await;
--- a/crates/roseproxy/tests/descriptors.rs
+++ b/crates/roseproxy/tests/descriptors.rs
@@ -8,7 +8,7 @@
 use roseproxy::config::Config;
 use roseproxy::start::serve;
 use roseproxy_transport::budget::{Budget, Permit};
-use roseproxy_transport::network::{Network, Quiet};
+use roseproxy_transport::network::{Network, Peek};
 use serde_json::json;
 use std::cell::Cell;
 use std::io;
@@ -64,19 +64,19 @@
         self.network.listen(address).await
     }
 
-    async fn accept(&self, listener: &TcpListener) -> io::Result<(Self::Accepted, Quiet)> {
+    async fn accept(&self, listener: &TcpListener) -> io::Result<(Self::Accepted, Peek)> {
         // As the system does: a connection that comes is accepted only where a descriptor is left.
         if self.descriptors.used() >= self.descriptors.limit() {
             self.descriptor()?;
         }
-        let (stream, quiet) = self.network.accept(listener).await?;
-        Ok((Counted { stream, _descriptor: self.descriptor()? }, quiet))
+        let (stream, peek) = self.network.accept(listener).await?;
+        Ok((Counted { stream, _descriptor: self.descriptor()? }, peek))
     }
 
-    async fn connect(&self, address: SocketAddr) -> io::Result<(Self::Opened, Quiet)> {
+    async fn connect(&self, address: SocketAddr) -> io::Result<(Self::Opened, Peek)> {
         let descriptor = self.descriptor()?;
-        let (stream, quiet) = self.network.connect(address).await?;
-        Ok((Counted { stream, _descriptor: descriptor }, quiet))
+        let (stream, peek) = self.network.connect(address).await?;
+        Ok((Counted { stream, _descriptor: descriptor }, peek))
     }
 }
 
--- a/crates/routing/src/guard.rs
+++ b/crates/routing/src/guard.rs
@@ -13,6 +13,10 @@
 pub enum Withheld {
     /// The request has its answer, or its client has left.
     RequestEnded,
+    /// The client's connection has ended, which has not been heard of yet.
+    ClientLeft,
+    /// Its head was made too long ago: what it tells of the client's time, or the window of repeats, is over.
+    WrittenTooLate,
     /// The client's time is over.
     OutOfTime,
     /// The request has had all the attempts that the settings allow.
@@ -34,8 +38,10 @@
 }
 
 /// All reasons with the names that they are counted under.
-pub const WITHHELD: [(Withheld, &str); 10] = [
+pub const WITHHELD: [(Withheld, &str); 12] = [
     (Withheld::RequestEnded, "request_ended"),
+    (Withheld::ClientLeft, "client_left"),
+    (Withheld::WrittenTooLate, "written_too_late"),
     (Withheld::OutOfTime, "out_of_time"),
     (Withheld::AttemptsSpent, "attempts_spent"),
     (Withheld::EndpointGone, "endpoint_gone"),
@@ -103,6 +109,25 @@
         Ok(WritePermit { whole_by: whole_by.min(now + WRITE_WITHIN) })
     }
 
+    /// Whether an attempt that has this leave may be written on at this instant, `present` being whether its client's
+    /// connection is still open. What held when the leave was given may have changed while the thread was busy.
+    pub(super) fn still_may_write(
+        &self,
+        now: f64,
+        id: ForwardId,
+        permit: WritePermit,
+        present: bool,
+    ) -> Result<(), Withheld> {
+        let forward = self.forwards.get(&id).ok_or(Withheld::RequestEnded)?;
+        if !present {
+            return Err(Withheld::ClientLeft);
+        }
+        if now >= permit.whole_by {
+            return Err(Withheld::WrittenTooLate);
+        }
+        self.may_write(now, id, forward.target).map(|_| ())
+    }
+
     /// Whether an endpoint may be sent something new. Word of its drain may have come between a decision
     /// and the send: within the grace that is allowed, and after it never.
     fn takes_work(&self, now: f64, endpoint: ServerId) -> Result<&Member, Withheld> {
--- a/crates/routing/src/send.rs
+++ b/crates/routing/src/send.rs
@@ -79,6 +79,16 @@
         }
     }
 
+    /// Asked again right before every write of an attempt, with the leave it was given and with whether its client's connection
+    /// is still open. One that may not be written on is reported by the front as [`Outcome::NotSent`], unless it is whole.
+    pub fn may_write_on(&mut self, now: f64, id: ForwardId, permit: WritePermit, present: bool) -> bool {
+        let allowed = self.still_may_write(now, id, permit, present);
+        if let Err(reason) = allowed {
+            self.note_withheld(now, id, reason);
+        }
+        allowed.is_ok()
+    }
+
     /// A forward has ended on the network. One that was given up before is heard no more.
     pub fn forward_ended(&mut self, now: f64, id: ForwardId, end: ForwardEnd, load: Option<Load>) {
         let Some(forward) = self.forwards.remove(&id) else { return };
--- a/crates/transport/src/accepting.rs
+++ b/crates/transport/src/accepting.rs
@@ -1,6 +1,6 @@
 //! Accepting: what is known of how long a connection has waited for it, and which errors want a pause.
 
-use super::network::{Network, Quiet};
+use super::network::{Network, Peek};
 use std::cell::Cell;
 use std::future::{poll_fn, Future};
 use std::io::{self, ErrorKind};
@@ -17,8 +17,8 @@
 pub(super) struct Accepted<S> {
     /// The client's stream.
     pub stream: S,
-    /// Tells whether nothing waits to be read on it.
-    pub quiet: Quiet,
+    /// Looks at what waits to be read on it.
+    pub peek: Peek,
     /// The earliest moment at which the client may have connected (ms): all that came before had been accepted then.
     /// What it sent may have waited since.
     pub came: f64,
@@ -65,7 +65,7 @@
         .await;
         self.caught_up.set(self.caught_up.get().min(now()));
         self.errors.set(if accepted.is_ok() { 0 } else { self.errors.get() + 1 });
-        accepted.map(|(stream, quiet)| Accepted { stream, quiet, came: self.caught_up.get() })
+        accepted.map(|(stream, peek)| Accepted { stream, peek, came: self.caught_up.get() })
     }
 
     /// How long to rest after an error (ms). One of that connection alone says nothing of the next; what is short may be
--- a/crates/transport/src/connecting.rs
+++ b/crates/transport/src/connecting.rs
@@ -73,6 +73,6 @@
 }
 
 async fn open<N: Network>(network: &N, address: SocketAddr) -> io::Result<Connection> {
-    let (stream, quiet) = network.connect(address).await?;
-    Connection::start(stream, quiet).await.map_err(io::Error::other)
+    let (stream, peek) = network.connect(address).await?;
+    Connection::start(stream, peek).await.map_err(io::Error::other)
 }
--- a/crates/transport/src/connection.rs
+++ b/crates/transport/src/connection.rs
@@ -1,7 +1,7 @@
 //! One connection to a target: hyper's client, with the bytes of each request counted.
 
-use super::meter::{Meter, Report};
-use super::network::Quiet;
+use super::meter::{Meter, Writing};
+use super::network::{Peek, Unread};
 use super::tap::Tapped;
 use super::uninterrupted::Uninterrupted;
 use super::Task;
@@ -14,6 +14,7 @@
 use roseproxy_platform::request::Outgoing;
 use roseproxy_platform::BODY_LIMIT;
 use std::future::{pending, Future};
+use std::rc::Rc;
 use tokio::io::{AsyncRead, AsyncWrite};
 
 /// Where a connection stands.
@@ -48,7 +49,7 @@
     meter: Meter,
     /// The count at which the present request is written whole, while one is out.
     whole_at: Option<u64>,
-    quiet: Quiet,
+    peek: Peek,
     _driver: Task,
 }
 
@@ -59,9 +60,9 @@
 }
 
 impl Connection {
-    /// Starts speaking on an open stream; `quiet` asks the stream itself, as the driver may not have been
+    /// Starts speaking on an open stream; `peek` asks the stream itself, as the driver may not have been
     /// told yet what has come.
-    pub async fn start<S>(stream: S, quiet: Quiet) -> Result<Connection, hyper::Error>
+    pub async fn start<S>(stream: S, peek: Peek) -> Result<Connection, hyper::Error>
     where
         S: AsyncRead + AsyncWrite + Unpin + 'static,
     {
@@ -70,7 +71,7 @@
         let (sender, driver) = handshake(TokioIo::new(stream)).await?;
         // What goes wrong on it shows in the exchange, or as a closed connection.
         let driver = tokio::task::spawn_local(async move { drop(driver.await) });
-        Ok(Connection { sender, meter, whole_at: None, quiet, _driver: driver.into() })
+        Ok(Connection { sender, meter, whole_at: None, peek, _driver: driver.into() })
     }
 
     /// Where it stands.
@@ -79,7 +80,7 @@
             Some(_) => State::Busy { last_byte_written: self.last_byte_written() },
             // A request written after the close is one that may have run; one written behind bytes that
             // nobody asked for would take them for its answer.
-            None if self.sender.is_closed() || !(self.quiet)() => State::Closed,
+            None if self.sender.is_closed() || (self.peek)() != Unread::Nothing => State::Closed,
             None => State::Idle,
         }
     }
@@ -95,15 +96,15 @@
     }
 
     /// The same for a request that must not be written on from some moment: where it is not whole then it is broken
-    /// off, and never runs. How far it goes out is reported.
+    /// off, and never runs. `writing` is asked before each write, and told how far it went out.
     pub(super) async fn exchange_unless(
         &mut self,
         outgoing: Outgoing,
         too_late: impl Future<Output = ()>,
-        report: Report,
+        writing: Rc<dyn Writing>,
     ) -> Exchange {
         let (written, whole_at) = (self.meter.clone(), self.meter.written() + outgoing.length);
-        self.meter.watch(outgoing.length, report);
+        self.meter.watch(outgoing.length, writing);
         let broken_off = async {
             too_late.await;
             if written.written() >= whole_at {
--- a/crates/transport/src/gateway.rs
+++ b/crates/transport/src/gateway.rs
@@ -3,8 +3,8 @@
 use super::budget::Budget;
 use super::connecting::{connect, ConnectError};
 use super::connection::Exchange;
-use super::meter::Milestone;
-use super::network::Network;
+use super::meter::{Milestone, Writing};
+use super::network::{Network, Peek, Unread};
 use super::pool::{Line, Pool};
 use super::traffic::{count, Traffic};
 use super::{length, Task};
@@ -15,6 +15,7 @@
 use roseproxy_platform::{load, outcome};
 use roseproxy_routing::event_log::{shortened, Activity, CloseReason, EventKind, Sink};
 use roseproxy_routing::flow::{Answer, FlowId, ForwardEnd, ForwardId, NewFlow, Order, ProbeEnd, Target};
+use roseproxy_routing::guard::WritePermit;
 use roseproxy_routing::invariants::Violation;
 use roseproxy_routing::start_times::{Clocks, Source, StartTimes};
 use roseproxy_routing::time::{to_millis, Now};
@@ -32,9 +33,10 @@
 const CONNECT_SHARE: f64 = 0.25;
 const CONNECT_LEAST: f64 = 50.0;
 
-#[derive(Debug)]
 struct Waiting {
     passing: Rc<Passing>,
+    /// Looks at the client's connection.
+    client: Peek,
     answer: oneshot::Sender<Answer>,
     /// Tells its forwards that nobody waits any more.
     ended: Rc<Notify>,
@@ -113,12 +115,13 @@
         self.now.clone()
     }
 
-    /// Takes in a flow; its answer comes on the channel. `None` where a request with its id is open: that
+    /// Takes in a flow, with what looks at its client's connection; its answer comes on the channel. `None` where a request with its id is open: that
     /// one belongs to another client, and a target would take this one for a repeat of it.
     pub fn take_in(
         self: &Rc<Self>,
         new: NewFlow,
         passing: Passing,
+        client: Peek,
     ) -> Option<(FlowId, oneshot::Receiver<Answer>)> {
         if !self.ids.borrow_mut().insert(passing.id.clone()) {
             return None;
@@ -128,7 +131,7 @@
         let client_id = shortened(passing.id.as_bytes());
         let taken = EventKind::Taken { client_id, class: new.class, time_left: new.time_left };
         self.host.borrow_mut().events.record(self.now(), Some(id), taken);
-        let waiting = Waiting { passing: Rc::new(passing), answer, ended: Rc::default() };
+        let waiting = Waiting { passing: Rc::new(passing), client, answer, ended: Rc::default() };
         self.waiting.borrow_mut().insert(id, waiting);
         self.settle();
         Some((id, receiver))
@@ -405,21 +408,38 @@
             }
         };
         let told = until - now;
-        let gateway = self.clone();
-        let report = Box::new(move |milestone| gateway.attempt_passed(id, milestone, told));
-        match line.connection.exchange_unless(passing.to_target(told), too_late, report).await {
+        let writing = Rc::new(AttemptWriting::new(self, id, permit, told));
+        match line.connection.exchange_unless(passing.to_target(told), too_late, writing.clone()).await {
             Exchange::Answered(status, headers, body) => {
                 self.keep(target, line);
                 (outcome::of_answer(status, &headers, body), load::of_headers(&headers))
             }
-            // Broken off as nobody waits: that tells nothing of the target.
-            Exchange::Broke { last_byte_written: false } if !self.waiting.borrow().contains_key(&id.flow) => {
+            // Broken off by this side: that tells nothing of the target.
+            Exchange::Broke { last_byte_written: false }
+                if writing.withheld.get() || !self.waiting.borrow().contains_key(&id.flow) =>
+            {
                 (ForwardEnd::Lost(Outcome::NotSent), None)
             }
             Exchange::Broke { last_byte_written } => (outcome::of_break(last_byte_written), None),
         }
     }
 
+    /// Whether the client of a flow is still there, as its connection says: its departure may not have been heard of yet.
+    fn client_is_there(&self, id: FlowId) -> bool {
+        let client = self.waiting.borrow().get(&id).map(|waiting| waiting.client.clone());
+        client.is_some_and(|client| client() != Unread::End)
+    }
+
+    /// Whether an attempt may be written on at this instant; one whose client has left ends here.
+    fn may_write_on(self: &Rc<Self>, id: ForwardId, permit: WritePermit) -> bool {
+        let present = self.client_is_there(id.flow);
+        let allowed = self.host.borrow_mut().may_write_on(self.now(), id, permit, present);
+        if !present {
+            self.client_gone(id.flow);
+        }
+        allowed
+    }
+
     /// Has the invariants checked at the instant at which an attempt goes out.
     fn attempt_passed(&self, id: ForwardId, milestone: Milestone, told: f64) {
         let (now, mut host) = (self.now(), self.host.borrow_mut());
@@ -491,6 +511,35 @@
     }
 }
 
+/// Answers for the writing of an attempt.
+struct AttemptWriting<N> {
+    gateway: Rc<Gateway<N>>,
+    id: ForwardId,
+    permit: WritePermit,
+    /// The time that its head tells the endpoint (ms).
+    told: f64,
+    /// Whether it was broken off by this side.
+    withheld: Cell<bool>,
+}
+
+impl<N: Network> AttemptWriting<N> {
+    fn new(gateway: &Rc<Gateway<N>>, id: ForwardId, permit: WritePermit, told: f64) -> AttemptWriting<N> {
+        AttemptWriting { gateway: gateway.clone(), id, permit, told, withheld: Cell::new(false) }
+    }
+}
+
+impl<N: Network> Writing for AttemptWriting<N> {
+    fn may_go(&self) -> bool {
+        let allowed = !self.withheld.get() && self.gateway.may_write_on(self.id, self.permit);
+        self.withheld.set(!allowed);
+        allowed
+    }
+
+    fn passed(&self, milestone: Milestone) {
+        self.gateway.attempt_passed(self.id, milestone, self.told);
+    }
+}
+
 /// Waits so many milliseconds; for ever where they have no end.
 async fn at(millis: f64) {
     match millis.is_finite() {
--- a/crates/transport/src/listener.rs
+++ b/crates/transport/src/listener.rs
@@ -5,7 +5,7 @@
 use super::client::Client;
 use super::gateway::Gateway;
 use super::head::{Framing, Incoming, Watch};
-use super::network::{Network, Quiet};
+use super::network::{Network, Peek, Unread};
 use super::tap::Tapped;
 use super::traffic::count;
 use super::uninterrupted::Uninterrupted;
@@ -187,10 +187,11 @@
         seat.idle_since.set(Some(now));
         seat.came.set(accepted.came);
         // What is there already may have been sent as soon as the client connected.
-        seat.waited.set(if (accepted.quiet)() { 0.0 } else { (now - accepted.came).max(0.0) });
+        let unread = (accepted.peek)() != Unread::Nothing;
+        seat.waited.set(if unread { (now - accepted.came).max(0.0) } else { 0.0 });
         self.seats.borrow_mut().insert(number, seat.clone());
         tokio::task::spawn_local(async move {
-            self.serve(&seat, accepted.stream, accepted.quiet).await;
+            self.serve(&seat, accepted.stream, accepted.peek).await;
             self.seats.borrow_mut().remove(&number);
             drop(permit);
             self.freed.notify_one();
@@ -241,12 +242,15 @@
 
     /// Why a connection ends now, if it does. A request whose last byte is there is taken, read or not: only where nothing is
     /// being answered and nothing waits to be read or written may it be closed.
-    fn ends(&self, seat: &Seat, quiet: &Quiet) -> Option<CloseReason> {
+    fn ends(&self, seat: &Seat, peek: &Peek) -> Option<CloseReason> {
         let now = self.gateway.now();
         if seat.stalled(now) {
             return Some(CloseReason::Stalled);
         }
-        let since = seat.idle_since.get().filter(|_| seat.blocked_since.get().is_none() && quiet())?;
+        let since = seat
+            .idle_since
+            .get()
+            .filter(|_| seat.blocked_since.get().is_none() && peek() == Unread::Nothing)?;
         if seat.late(now) {
             count(&self.gateway.traffic.late_requests);
             return Some(CloseReason::Late);
@@ -256,12 +260,12 @@
         (seat.idle().is_some() && (seat.unwanted.get() || closing)).then_some(reason)
     }
 
-    async fn serve(self: &Rc<Self>, seat: &Rc<Seat>, stream: N::Accepted, quiet: Quiet) {
+    async fn serve(self: &Rc<Self>, seat: &Rc<Seat>, stream: N::Accepted, peek: Peek) {
         let watch = Watch { incoming: seat.incoming.clone(), now: self.gateway.clock(), limit: HEAD_LIMIT };
         let blocked_since = seat.blocked_since.clone();
         let mut client = Client::new(Uninterrupted(stream), blocked_since, self.gateway.clock());
         let stream = Tapped::new(client.clone(), watch);
-        let service = service_fn(|request| self.clone().handle(seat.clone(), request));
+        let service = service_fn(|request| self.clone().handle(seat.clone(), peek.clone(), request));
         let connection = http1::Builder::new()
             // `keep_limits` has the time: hyper's would run between requests too.
             .header_read_timeout(None)
@@ -280,7 +284,7 @@
                         break CloseReason::Departed;
                     }
                     () = seat.look.notified() => {
-                        if let Some(reason) = self.ends(seat, &quiet) {
+                        if let Some(reason) = self.ends(seat, &peek) {
                             break reason;
                         }
                     }
@@ -299,7 +303,12 @@
         }
     }
 
-    async fn handle(self: Rc<Self>, seat: Rc<Seat>, request: Request<Body>) -> Result<Reply, Infallible> {
+    async fn handle(
+        self: Rc<Self>,
+        seat: Rc<Seat>,
+        peek: Peek,
+        request: Request<Body>,
+    ) -> Result<Reply, Infallible> {
         let begun = seat.incoming.begun().or(seat.idle_since.take()).unwrap_or_else(|| self.gateway.now());
         let came = if seat.asked.get() { begun } else { begun - seat.waited.get() };
         seat.idle_since.set(None);
@@ -317,7 +326,7 @@
             "/health/counters" => plain(StatusCode::OK, (self.counters)()),
             "/health/events" => plain(StatusCode::OK, self.gateway.events()),
             _ => {
-                let flow = self.flow(came, request, &seat).await;
+                let flow = self.flow(came, request, &seat, peek).await;
                 flow.unwrap_or_else(|malformed| self.turn_away(&seat, malformed))
             }
         };
@@ -339,7 +348,13 @@
         turned_away(malformed)
     }
 
-    async fn flow(&self, came: f64, request: Request<Body>, seat: &Seat) -> Result<Reply, Malformed> {
+    async fn flow(
+        &self,
+        came: f64,
+        request: Request<Body>,
+        seat: &Seat,
+        peek: Peek,
+    ) -> Result<Reply, Malformed> {
         let too_large = Malformed { status: StatusCode::PAYLOAD_TOO_LARGE, reason: "the body is too large" };
         let (parts, body) = request.into_parts();
         let mut new = self.gateway.classes.read(&parts)?;
@@ -360,7 +375,7 @@
                 return Err(Malformed { status: StatusCode::REQUEST_TIMEOUT, reason: "the body is late" })
             }
         };
-        let (id, answer) = self.gateway.take_in(new, Passing::new(&parts, body)).ok_or(Malformed {
+        let (id, answer) = self.gateway.take_in(new, Passing::new(&parts, body), peek).ok_or(Malformed {
             status: StatusCode::CONFLICT,
             reason: "a request with this Request-Id is open",
         })?;
--- a/crates/transport/src/meter.rs
+++ b/crates/transport/src/meter.rs
@@ -19,15 +19,22 @@
     Whole,
 }
 
-/// Hears of the milestones of a request as they are passed.
-pub(super) type Report = Box<dyn Fn(Milestone)>;
+/// Who answers for the writing of a request.
+pub(super) trait Writing {
+    /// Asked right before each write, until the request is whole: whether it may go on. What was checked before may not hold
+    /// any more, as the connection's own task writes, maybe after a pause.
+    fn may_go(&self) -> bool;
+
+    /// A milestone was passed.
+    fn passed(&self, milestone: Milestone);
+}
 
 /// The request that is going out, by the counts at which it passes its milestones.
 struct Watched {
     before: u64,
     whole: u64,
     began: bool,
-    report: Report,
+    writing: Rc<dyn Writing>,
 }
 
 /// Bytes that a connection has written; shared with whoever asks.
@@ -45,26 +52,32 @@
         self.0.written.get()
     }
 
-    /// Reports the milestones of the next request, which takes so many bytes.
-    pub fn watch(&self, length: u64, report: Report) {
+    /// Has `writing` answer for the next request, which takes so many bytes.
+    pub fn watch(&self, length: u64, writing: Rc<dyn Writing>) {
         let before = self.written();
-        let watched = Watched { before, whole: before + length, began: false, report };
+        let watched = Watched { before, whole: before + length, began: false, writing };
         *self.0.watched.borrow_mut() = Some(watched);
     }
 }
 
 /// What the socket takes counts; what hyper has buffered does not, and what it says of an error is not asked.
 impl Tap for Meter {
+    fn may_go(&mut self) -> bool {
+        // Let go of first: who is asked may end the attempt.
+        let writing = self.0.watched.borrow().as_ref().map(|watched| watched.writing.clone());
+        writing.is_none_or(|writing| writing.may_go())
+    }
+
     fn went(&mut self, count: usize) {
         self.0.written.set(self.written() + count as u64);
         let mut slot = self.0.watched.borrow_mut();
         let Some(watched) = slot.as_mut() else { return };
         if !watched.began && self.written() > watched.before {
             watched.began = true;
-            (watched.report)(Milestone::Began);
+            watched.writing.passed(Milestone::Began);
         }
         if self.written() >= watched.whole {
-            (watched.report)(Milestone::Whole);
+            watched.writing.passed(Milestone::Whole);
             *slot = None;
         }
     }
--- a/crates/transport/src/network.rs
+++ b/crates/transport/src/network.rs
@@ -1,4 +1,4 @@
-//! The narrow seam below the transport: how streams come into being, and whether one is quiet.
+//! The narrow seam below the transport: how streams come into being, and what waits to be read on one.
 //!
 //! Everything above it is generic in [`Network`], so that the program on real sockets pays nothing for
 //! it, and a world in virtual time can stand below the very same listener, pool and watch.
@@ -13,8 +13,19 @@
 use tokio::io::{AsyncRead, AsyncWrite};
 use tokio::net::{TcpListener, TcpStream};
 
-/// Whether nothing waits to be read on a stream, and its other end has not closed it.
-pub type Quiet = Box<dyn Fn() -> bool>;
+/// What waits to be read on a stream.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Unread {
+    /// Nothing, and more may come.
+    Nothing,
+    /// Bytes; whether the other end has closed behind them is not known.
+    Bytes,
+    /// The end: the other side has closed it, or it broke.
+    End,
+}
+
+/// Looks at what waits to be read on a stream, without reading it.
+pub type Peek = Rc<dyn Fn() -> Unread>;
 
 /// Where streams come from.
 pub trait Network: Clone + 'static {
@@ -28,11 +39,11 @@
     /// Begins to listen.
     fn listen(&self, address: SocketAddr) -> impl Future<Output = io::Result<Self::Listener>>;
 
-    /// Waits for the next client; with what tells whether its stream is quiet.
-    fn accept(&self, listener: &Self::Listener) -> impl Future<Output = io::Result<(Self::Accepted, Quiet)>>;
+    /// Waits for the next client; with what looks at its stream.
+    fn accept(&self, listener: &Self::Listener) -> impl Future<Output = io::Result<(Self::Accepted, Peek)>>;
 
-    /// Opens a stream, with what tells whether it is quiet.
-    fn connect(&self, address: SocketAddr) -> impl Future<Output = io::Result<(Self::Opened, Quiet)>>;
+    /// Opens a stream, with what looks at it.
+    fn connect(&self, address: SocketAddr) -> impl Future<Output = io::Result<(Self::Opened, Peek)>>;
 }
 
 /// The system's sockets.
@@ -48,30 +59,31 @@
         TcpListener::bind(address).await
     }
 
-    async fn accept(&self, listener: &TcpListener) -> io::Result<(Shared, Quiet)> {
+    async fn accept(&self, listener: &TcpListener) -> io::Result<(Shared, Peek)> {
         let (stream, _) = listener.accept().await?;
         // Without it answers only come later; the connection is good all the same.
         let _ = stream.set_nodelay(true);
         Ok(shared(stream))
     }
 
-    async fn connect(&self, address: SocketAddr) -> io::Result<(Shared, Quiet)> {
+    async fn connect(&self, address: SocketAddr) -> io::Result<(Shared, Peek)> {
         let stream = TcpStream::connect(address).await?;
         stream.set_nodelay(true)?;
         Ok(shared(stream))
     }
 }
 
-/// A stream, and what asks the system whether it is quiet.
-fn shared(stream: TcpStream) -> (Shared, Quiet) {
+/// A stream, and what asks the system about it.
+fn shared(stream: TcpStream) -> (Shared, Peek) {
     let stream = Rc::new(stream);
     let peeked = stream.clone();
-    let quiet = Box::new(move || loop {
-        let peek = SockRef::from(&*peeked).peek(&mut [MaybeUninit::uninit()]);
-        match peek {
+    let peek = Rc::new(move || loop {
+        match SockRef::from(&*peeked).peek(&mut [MaybeUninit::uninit()]) {
             Err(e) if e.kind() == ErrorKind::Interrupted => {}
-            peek => return peek.is_err_and(|e| e.kind() == ErrorKind::WouldBlock),
+            Err(e) if e.kind() == ErrorKind::WouldBlock => return Unread::Nothing,
+            Ok(0) | Err(_) => return Unread::End,
+            Ok(_) => return Unread::Bytes,
         }
     });
-    (Shared(stream), quiet)
+    (Shared(stream), peek)
 }
--- a/crates/transport/src/tap.rs
+++ b/crates/transport/src/tap.rs
@@ -1,4 +1,5 @@
-//! A stream that is looked at as its bytes pass: what came in on it, and what the other side of it has taken.
+//! A stream that is looked at as its bytes pass: what came in on it, what may go out, and what the
+//! other side of it has taken.
 
 use std::io::{self, IoSlice};
 use std::pin::Pin;
@@ -10,6 +11,11 @@
     /// These bytes came in, one at least.
     fn came(&mut self, _bytes: &[u8]) {}
 
+    /// Whether anything may be written now; the stream breaks else.
+    fn may_go(&mut self) -> bool {
+        true
+    }
+
     /// So many bytes were taken.
     fn went(&mut self, _count: usize) {}
 }
@@ -45,6 +51,9 @@
 
 impl<S: AsyncWrite + Unpin, T: Tap> AsyncWrite for Tapped<S, T> {
     fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
+        if !self.tap.may_go() {
+            return Poll::Ready(Err(io::ErrorKind::ConnectionAborted.into()));
+        }
         let written = ready!(Pin::new(&mut self.stream).poll_write(cx, buf))?;
         self.tap.went(written);
         Poll::Ready(Ok(written))
@@ -55,6 +64,9 @@
         cx: &mut Context<'_>,
         bufs: &[IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
+        if !self.tap.may_go() {
+            return Poll::Ready(Err(io::ErrorKind::ConnectionAborted.into()));
+        }
         let written = ready!(Pin::new(&mut self.stream).poll_write_vectored(cx, bufs))?;
         self.tap.went(written);
         Poll::Ready(Ok(written))
--- a/crates/transport/tests/connection.rs
+++ b/crates/transport/tests/connection.rs
@@ -6,6 +6,8 @@
 use quickcheck::{Arbitrary, Gen, QuickCheck, TestResult};
 use roseproxy_platform::request::Passing;
 use roseproxy_transport::connection::{Connection, Exchange, State};
+use roseproxy_transport::network::Unread;
+use std::rc::Rc;
 use tokio::io::{AsyncReadExt, AsyncWriteExt, DuplexStream};
 use tokio::task::{spawn_local, yield_now, JoinHandle};
 
@@ -84,7 +86,7 @@
 impl Real {
     async fn new() -> Real {
         let (near, far) = tokio::io::duplex(PIPE as usize);
-        let connection = Connection::start(near, Box::new(|| true)).await.expect("a fresh pipe");
+        let connection = Connection::start(near, Rc::new(|| Unread::Nothing)).await.expect("a fresh pipe");
         Real { connection: Some(connection), running: None, peer: Some(far) }
     }
 
