--- a/crates/roseproxy/tests/late_writes.rs
+++ b/crates/roseproxy/tests/late_writes.rs
@@ -1,5 +1,5 @@
-//! The program is held up between the decision to send an attempt and its first byte. What held then is looked at again at the
-//! instant of writing: whether the client is still there, and what time it has left.
+//! The program is held up: between the decision to send an attempt and its first byte, or while a request waits to be read. What
+//! held before is looked at again at the instant of writing: whether the client is still there, and what time it has left.
 
 mod common;
 
@@ -15,7 +15,7 @@
 use std::task::Poll;
 use std::time::{Duration, Instant};
 use tokio::io::AsyncWriteExt;
-use tokio::net::TcpStream;
+use tokio::net::{TcpListener, TcpStream};
 use tokio::task::spawn_local;
 
 /// How long the one thread does nothing: longer than any slack of the rules.
@@ -75,48 +75,107 @@
     attempts: Vec<(Instant, String)>,
 }
 
-/// A request on a kept connection; `meanwhile` gets the client's stream as the thread is held up.
-fn heard_after_hold_up(meanwhile: impl FnOnce(std::net::TcpStream) + 'static) -> Heard {
-    scene(async {
-        let (socket, address) = port().await;
-        let heard = Rc::new(RefCell::new(Vec::new()));
-        let hears = heard.clone();
+/// The endpoint of a scene, and all it has read.
+type Read = Rc<RefCell<Vec<(Instant, String)>>>;
+
+/// Answers everything, and keeps it.
+async fn endpoint(socket: TcpListener, read: Read) {
+    loop {
+        let (mut stream, _) = socket.accept().await.expect("the sidecar connects");
+        let read = read.clone();
         spawn_local(async move {
-            loop {
-                let (mut stream, _) = socket.accept().await.expect("the sidecar connects");
-                let hears = hears.clone();
-                spawn_local(async move {
-                    while let Some(text) = message(&mut stream).await {
-                        hears.borrow_mut().push((Instant::now(), text));
-                        if stream.write_all(OK.as_bytes()).await.is_err() {
-                            return;
-                        }
-                    }
-                });
+            while let Some(text) = message(&mut stream).await {
+                read.borrow_mut().push((Instant::now(), text));
+                if stream.write_all(OK.as_bytes()).await.is_err() {
+                    return;
+                }
             }
         });
-        let held: Meanwhile = Rc::default();
-        let (config, clock) = (config(), Clock::system());
-        let decider = HoldsUp { server: None, meanwhile: held.clone() };
-        let host = Host::with(config.settings.clone(), Box::new(decider));
-        let sidecar = sidecar_of(Tcp, host, config, clock, &[address], 20, 20).await;
-        let mut first = TcpStream::connect(sidecar.address).await.expect("connects");
-        ask(&mut first, &request("place-order", "before", "b")).await;
-        tokio::time::sleep(Duration::from_millis(50)).await;
-        let text = request("place-order", "held", "b").replace("Request-Timeout: 50", "Request-Timeout: 5");
+    }
+}
+
+/// A sidecar whose thread is held up behind the next request for which `meanwhile` is set, with a kept connection to its
+/// endpoint.
+async fn held_up_sidecar() -> (Sidecar, Meanwhile, Read) {
+    let ((socket, address), read) = (port().await, Read::default());
+    spawn_local(endpoint(socket, read.clone()));
+    let held: Meanwhile = Rc::default();
+    let (config, clock) = (config(), Clock::system());
+    let decider = HoldsUp { server: None, meanwhile: held.clone() };
+    let host = Host::with(config.settings.clone(), Box::new(decider));
+    let sidecar = sidecar_of(Tcp, host, config, clock, &[address], 20, 20).await;
+    let mut first = TcpStream::connect(sidecar.address).await.expect("connects");
+    ask(&mut first, &request("place-order", "before", "b")).await;
+    // Kept connections rest before they carry the next request.
+    tokio::time::sleep(Duration::from_millis(50)).await;
+    (sidecar, held, read)
+}
+
+/// A request with the client's time in it.
+fn timed(id: &str) -> String {
+    request("place-order", id, "b").replace("Request-Timeout: 50", "Request-Timeout: 5")
+}
+
+/// What an endpoint has read of the request with this id.
+fn attempts(read: &Read, id: &str) -> Vec<(Instant, String)> {
+    let id = format!("request-id: {id}\r");
+    read.borrow().iter().filter(|(_, text)| text.contains(&id)).cloned().collect()
+}
+
+/// A request behind which the thread is held up; `meanwhile` gets the client's stream then.
+fn heard_after_hold_up(meanwhile: impl FnOnce(std::net::TcpStream) + 'static) -> Heard {
+    scene(async {
+        let (sidecar, held, read) = held_up_sidecar().await;
         let mut client = TcpStream::connect(sidecar.address).await.expect("connects");
         let sent = Instant::now();
-        client.write_all(text.as_bytes()).await.expect("written");
+        client.write_all(timed("held").as_bytes()).await.expect("written");
         let client = client.into_std().expect("a stream");
         *held.borrow_mut() = Some(Box::new(move || meanwhile(client)));
         tokio::time::sleep(HELD_UP + Duration::from_millis(300)).await;
         assert!(held.borrow().is_none(), "the thread was held up");
-        let heard = heard.borrow();
-        let attempts = heard.iter().filter(|(_, text)| text.contains("held")).cloned().collect();
-        Heard { sent, attempts }
+        Heard { sent, attempts: attempts(&read, "held") }
+    })
+}
+
+/// A request that comes as the thread begins to be held up behind another one, on a kept or a new connection.
+fn heard_of_one_that_waited(kept: bool) -> Heard {
+    scene(async {
+        let (sidecar, held, read) = held_up_sidecar().await;
+        let mut waits = TcpStream::connect(sidecar.address).await.expect("connects");
+        if kept {
+            ask(&mut waits, &request("place-order", "kept", "b")).await;
+            tokio::time::sleep(Duration::from_millis(50)).await;
+        }
+        let mut waits = waits.into_std().expect("a stream");
+        let sent = Rc::new(RefCell::new(Instant::now()));
+        let (sends, address) = (sent.clone(), sidecar.address);
+        *held.borrow_mut() = Some(Box::new(move || {
+            *sends.borrow_mut() = Instant::now();
+            if !kept {
+                waits = std::net::TcpStream::connect(address).expect("the system accepts");
+            }
+            std::io::Write::write_all(&mut waits, timed("waited").as_bytes()).expect("written");
+            std::mem::forget(waits);
+        }));
+        let mut other = TcpStream::connect(sidecar.address).await.expect("connects");
+        ask(&mut other, &timed("held")).await;
+        tokio::time::sleep(HELD_UP + Duration::from_millis(300)).await;
+        let sent = *sent.borrow();
+        Heard { sent, attempts: attempts(&read, "waited") }
     })
 }
 
+/// One attempt was heard of, and told no more time than its client had.
+fn assert_told_what_is_left(heard: &Heard) {
+    assert_eq!(heard.attempts.len(), 1, "it is sent once");
+    for (at, text) in &heard.attempts {
+        let told = text.lines().find_map(|line| line.strip_prefix("request-timeout: ")).expect("told");
+        let told = told.parse::<f64>().expect("a number") * 1e3;
+        let left = TIMEOUT - (*at - heard.sent).as_secs_f64() * 1e3;
+        assert!(told < left + 150.0, "told {told:.0} ms, the client has {left:.0}");
+    }
+}
+
 #[test]
 fn no_attempt_is_written_for_a_client_that_left_while_the_thread_was_held_up() {
     let heard = heard_after_hold_up(drop);
@@ -126,12 +185,15 @@
 #[test]
 fn an_attempt_tells_what_time_is_left_after_the_thread_was_held_up() {
     // The client stays.
-    let heard = heard_after_hold_up(std::mem::forget);
-    assert_eq!(heard.attempts.len(), 1, "it is sent all the same");
-    for (at, text) in heard.attempts {
-        let told = text.lines().find_map(|line| line.strip_prefix("request-timeout: ")).expect("told");
-        let told = told.parse::<f64>().expect("a number") * 1e3;
-        let left = TIMEOUT - (at - heard.sent).as_secs_f64() * 1e3;
-        assert!(told < left + 150.0, "told {told:.0} ms, the client has {left:.0}");
-    }
+    assert_told_what_is_left(&heard_after_hold_up(std::mem::forget));
+}
+
+#[test]
+fn a_request_on_a_kept_connection_that_waited_unread_has_less_time_left() {
+    assert_told_what_is_left(&heard_of_one_that_waited(true));
+}
+
+#[test]
+fn a_request_on_a_new_connection_that_waited_unread_has_less_time_left() {
+    assert_told_what_is_left(&heard_of_one_that_waited(false));
 }
