--- a/crates/soak/src/client.rs
+++ b/crates/soak/src/client.rs
@@ -8,6 +8,7 @@
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use std::cell::{Cell, RefCell};
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -15,12 +16,16 @@
 use tokio::net::TcpStream;
 use tokio::task::spawn_local;
 
-/// The times that clients wait (ms).
-const TIMEOUTS: [f64; 3] = [500.0, 900.0, 1_500.0];
+/// The times that clients wait, as parts of the longest deadline.
+const TIMEOUTS: [f64; 3] = [0.35, 0.6, 1.0];
+/// How long after a request was sent a close may still have crossed it (ms): later it has been read.
+const CROSSES: f64 = 150.0;
+/// How often the crowd of idle connections is filled up (ms).
+const CROWD: u64 = 50;
 /// How much longer than its time a client listens for an answer that is late (ms).
 const LISTENS_ON: f64 = 500.0;
 /// How often what was closed unread is sent on a new connection.
-const RESENDS: u32 = 3;
+const RESENDS: u32 = 1;
 /// Keys that requests are about.
 const KEYS: u32 = 40;
 /// Idle connections that are kept.
@@ -58,6 +63,8 @@
     seed: u64,
     /// What measuring may be off by (ms).
     slack: f64,
+    /// The longest deadline of a class (ms).
+    deadline: f64,
 }
 
 /// A request that is sent, maybe more than once where its connection was closed unread.
@@ -72,13 +79,15 @@
 }
 
 /// Asks until the standard input ends.
-pub async fn run(sidecar: usize, address: SocketAddr, seed: u64, slack: f64) {
+pub async fn run(sidecar: usize, address: SocketAddr, seed: u64, slack: f64, deadline: f64) {
     let random = RefCell::new(ChaCha8Rng::seed_from_u64(seed));
     let (idle, asked) = (RefCell::default(), Cell::new(0));
     let conduct = follow(|_| {});
     let lag = Lag::measure();
-    let clients = Rc::new(Clients { sidecar, address, conduct, idle, asked, random, lag, seed, slack });
+    let clients =
+        Rc::new(Clients { sidecar, address, conduct, idle, asked, random, lag, seed, slack, deadline });
     spawn_local(clients.clone().misbehave());
+    spawn_local(clients.clone().crowd());
     loop {
         let rate = clients.conduct.borrow().rate;
         if rate <= 0.0 {
@@ -106,7 +115,7 @@
         self.asked.set(self.asked.get() + 1);
         let id = format!("{:x}-{}-{}", self.seed, self.sidecar, self.asked.get());
         let class = Class::ALL[self.random.borrow_mut().random_range(0..3)];
-        let timeout = TIMEOUTS[self.random.borrow_mut().random_range(0..TIMEOUTS.len())];
+        let timeout = TIMEOUTS[self.random.borrow_mut().random_range(0..TIMEOUTS.len())] * self.deadline;
         let key = self.random.borrow_mut().random_range(0..KEYS);
         let (method, length) = match class {
             Class::Safe => ("GET", 0),
@@ -126,11 +135,15 @@
     }
 
     async fn ask(self: Rc<Self>) {
+        if self.conduct.borrow().open_only && self.idle.borrow().is_empty() {
+            return;
+        }
         let request = self.request();
         let mut sent = now();
         let mut end = End::Unreachable;
-        for _ in 0..=RESENDS {
-            let Some(mut connection) = self.connection().await else { break };
+        for tried in 0..=RESENDS {
+            let connection = if tried == 0 { self.connection().await } else { self.connect().await };
+            let Some(mut connection) = connection else { break };
             let written = self.write(&request, &mut connection).await;
             sent = now();
             end = match written {
@@ -139,7 +152,13 @@
             };
             match &end {
                 // A close that crossed the request: it is sent once more on another connection.
-                End::Cut { partial: false, new_connection: false } => continue,
+                End::Cut { partial: false, new_connection: false } if now() - sent < CROSSES => {
+                    if self.conduct.borrow().open_only {
+                        end = End::Crossed;
+                        break;
+                    }
+                    continue;
+                }
                 End::Left if self.happens(0.5) => reset(connection.stream),
                 End::Answered { .. } => self.keep(connection),
                 _ => {}
@@ -151,11 +170,36 @@
         print(&Record::Request { id, sidecar, class, sent, timeout, at: now(), end });
     }
 
+    /// Holds as many idle connections as it is told, and opens those anew that were closed.
+    async fn crowd(self: Rc<Self>) {
+        let mut held: Vec<TcpStream> = Vec::new();
+        loop {
+            tokio::time::sleep(Duration::from_millis(CROWD)).await;
+            held.retain(|stream| {
+                stream.try_read(&mut [0; 1]).is_err_and(|e| e.kind() == ErrorKind::WouldBlock)
+            });
+            let wanted = self.conduct.borrow().crowd;
+            held.truncate(wanted);
+            while held.len() < wanted && !self.conduct.borrow().open_only {
+                let Ok(stream) = TcpStream::connect(self.address).await else { break };
+                held.push(stream);
+            }
+        }
+    }
+
     async fn connection(&self) -> Option<Connection> {
         let kept = self.idle.borrow_mut().pop();
-        if let Some(kept) = kept.filter(|_| !self.happens(self.conduct.borrow().reconnects)) {
+        let conduct = *self.conduct.borrow();
+        if let Some(kept) = kept.filter(|_| conduct.open_only || !self.happens(conduct.reconnects)) {
             return Some(kept);
         }
+        if conduct.open_only {
+            return None;
+        }
+        self.connect().await
+    }
+
+    async fn connect(&self) -> Option<Connection> {
         let stream = TcpStream::connect(self.address).await.ok()?;
         let _ = stream.set_nodelay(true);
         Some(Connection { stream, reader: Reader::default(), used: false })
--- a/crates/soak/src/control.rs
+++ b/crates/soak/src/control.rs
@@ -41,6 +41,10 @@
     pub misbehaves: f64,
     /// Bytes behind the request, for a share of requests whose client leaves.
     pub trails: f64,
+    /// Whether clients open no connection, and ask on those that are open: as after SIGTERM.
+    pub open_only: bool,
+    /// Connections that are held open and on which nothing is asked.
+    pub crowd: usize,
 }
 
 /// How discovery behaves.
@@ -58,6 +62,10 @@
     pub indented: bool,
     /// The list.
     pub members: Vec<Member>,
+    /// Endpoints that are listed besides and never change; all of them are one process, at this port.
+    pub listed: usize,
+    /// See `listed`.
+    pub listed_port: u16,
 }
 
 /// An entry of the list.
--- a/crates/soak/src/discovery.rs
+++ b/crates/soak/src/discovery.rs
@@ -2,6 +2,7 @@
 //! can move.
 
 use crate::control::{follow, Member, Registry};
+use crate::fleet::LISTED_CELL;
 use crate::http::Reader;
 use crate::records::{now, print, Record};
 use serde_json::{json, Value};
@@ -123,7 +124,10 @@
             "flavor": "m", "cell": m.cell, "phase": m.phase, "size": 1.0, "up_since_ms": m.up_since_ms})
     };
     let of_list = |m: &&Member| !complete || m.phase != "terminated";
-    let members: Vec<Value> = members.iter().filter(of_list).map(entry).collect();
+    let mut members: Vec<Value> = members.iter().filter(of_list).map(entry).collect();
+    if complete {
+        members.extend((0..state.listed).map(|number| listed(number, state.listed_port)));
+    }
     let list = json!({"revision": state.revision, "complete": complete, "members": members});
     if state.indented {
         serde_json::to_string_pretty(&list).unwrap_or_default()
@@ -132,6 +136,12 @@
     }
 }
 
+/// The entry of an endpoint that is only listed.
+fn listed(number: usize, port: u16) -> Value {
+    json!({"id": format!("l-{number}"), "host_port": format!("127.0.0.1:{port}"), "locality": "a", "flavor": "m",
+        "cell": LISTED_CELL, "phase": "in_service", "size": 1.0, "up_since_ms": 0})
+}
+
 async fn chunk(stream: &mut TcpStream, text: &str) -> io::Result<()> {
     stream.write_all(format!("{:x}\r\n{text}\r\n", text.len()).as_bytes()).await
 }
--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -6,8 +6,9 @@
 use crate::shim::{errno, Fault};
 use crate::timeline::Played;
 use rand::seq::IndexedRandom;
-use rand::Rng;
+use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
+use rustix::process::Signal;
 use std::rc::Rc;
 
 /// Lengths of faults (s).
@@ -19,11 +20,33 @@
 /// How long a process is held up (ms): the platform allows 150, and telling it to go on takes a moment too.
 const STALL: f64 = 100.0;
 
+/// New configurations in a series, and the time between them (ms).
+const RELOADS: usize = 4;
+const RELOAD_PAUSE: f64 = 30.0;
+/// How long after SIGTERM further signals come (ms).
+const SERIES: f64 = 1_500.0;
+/// Connections of a crowd: up to so many at each sidecar, more than it has places for.
+const CROWD: u64 = 160;
+/// How many times the usual requests come in a burst.
+const BURST: f64 = 4.0;
+/// How long a starved sidecar stands still and runs in turn (ms): a tenth of a core.
+const STARVED: (f64, f64) = (18.0, 2.0);
+
 /// A kind of fault.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Kind {
     /// A sidecar is ended in order and started again.
     Restart,
+    /// A sidecar is killed without a word and started again.
+    Kill,
+    /// Signals in a series: new configurations one behind the other.
+    ReloadSeries,
+    /// Connections on which nothing is asked take the places.
+    Crowd,
+    /// A burst of requests.
+    Burst,
+    /// A sidecar gets a part of a core only.
+    Starve,
     /// Discovery moves: all sidecars get a new configuration.
     Reload,
     /// The same, while the configuration cannot be opened.
@@ -96,6 +119,14 @@
 const KINDS: &[Kind] = &[
     Kind::Restart,
     Kind::Restart,
+    Kind::Restart,
+    Kind::Kill,
+    Kind::ReloadSeries,
+    Kind::Crowd,
+    Kind::Crowd,
+    Kind::Burst,
+    Kind::Starve,
+    Kind::Starve,
     Kind::Reload,
     Kind::ReloadUnreadable,
     Kind::Stall,
@@ -167,6 +198,19 @@
         let from = now();
         match self.kind {
             Kind::Restart => self.restart(&fleet).await,
+            Kind::Kill => self.kill(&fleet).await,
+            Kind::ReloadSeries => {
+                for _ in 0..RELOADS {
+                    reload(&fleet).await;
+                    sleep(RELOAD_PAUSE).await;
+                }
+            }
+            Kind::Crowd => {
+                let crowd = (self.draw / 64 % CROWD) as usize;
+                self.clients(&fleet, |c| c.crowd = crowd, |c| c.crowd = 0).await
+            }
+            Kind::Burst => self.clients(&fleet, |c| c.rate *= BURST, |c| c.rate /= BURST).await,
+            Kind::Starve => self.starve(&fleet).await,
             Kind::Reload => reload(&fleet).await,
             Kind::ReloadUnreadable => {
                 fleet.change_faults(|f| f.config = Fault { error: errno::EMFILE, rate: 1_000_000 });
@@ -176,9 +220,9 @@
             }
             Kind::Stall => {
                 let sidecar = self.sidecar(&fleet);
-                fleet.signal(sidecar, "STOP");
+                fleet.signal(sidecar, Signal::STOP);
                 sleep(STALL).await;
-                fleet.signal(sidecar, "CONT");
+                fleet.signal(sidecar, Signal::CONT);
             }
             Kind::Drain => self.drain(&fleet).await,
             Kind::Crash => self.crash(&fleet).await,
@@ -245,13 +289,46 @@
         if fleet.sidecars[number].busy.replace(true) {
             return;
         }
-        fleet.stop(number).await;
+        fleet.stop(number, &self.series()).await;
         if let Err(reason) = fleet.start(number).await {
             eprintln!("roseproxy-soak: sidecar {number}: {reason}");
         }
         fleet.sidecars[number].busy.set(false);
     }
 
+    /// Signals that come after SIGTERM: up to three.
+    fn series(&self) -> Vec<(f64, Signal)> {
+        let mut random = ChaCha8Rng::seed_from_u64(self.draw);
+        let count = random.random_range(0..4);
+        let signals = [Signal::TERM, Signal::HUP, Signal::INT];
+        let one = |_| (random.random_range(0.0..SERIES), signals[random.random_range(0..signals.len())]);
+        (0..count).map(one).collect()
+    }
+
+    async fn kill(&self, fleet: &Rc<Fleet>) {
+        let number = self.sidecar(fleet);
+        if fleet.sidecars[number].busy.replace(true) {
+            return;
+        }
+        fleet.kill_outright(number).await;
+        sleep(self.millis() / 3.0).await;
+        if let Err(reason) = fleet.start(number).await {
+            eprintln!("roseproxy-soak: sidecar {number}: {reason}");
+        }
+        fleet.sidecars[number].busy.set(false);
+    }
+
+    /// Has a sidecar run for a part of the time only, in slices that are short.
+    async fn starve(&self, fleet: &Rc<Fleet>) {
+        let (number, until) = (self.sidecar(fleet), now() + self.millis());
+        while now() < until {
+            fleet.signal(number, Signal::STOP);
+            sleep(STARVED.0).await;
+            fleet.signal(number, Signal::CONT);
+            sleep(STARVED.1).await;
+        }
+    }
+
     async fn drain(&self, fleet: &Rc<Fleet>) {
         let Some(number) = self.endpoint(fleet) else { return };
         fleet.announce(number, "terminating").await;
--- a/crates/soak/src/fleet.rs
+++ b/crates/soak/src/fleet.rs
@@ -5,6 +5,7 @@
 use crate::settings::Settings;
 use crate::shim::{self, Control, Faults};
 use crate::timeline::{EndpointEvent, SidecarEvent, Timeline};
+use rustix::process::{kill_process, Pid, Signal};
 use serde::Serialize;
 use std::cell::{Cell, RefCell};
 use std::net::TcpListener;
@@ -23,10 +24,14 @@
 const PORTS: Range<u16> = 11_000..31_000;
 /// How long a sidecar may take to become ready (ms).
 const READY: f64 = 30_000.0;
-/// How long after SIGTERM clients still ask (ms).
-const STILL_ASK: f64 = 300.0;
-/// When SIGKILL comes, after SIGTERM (ms): the longest deadline counted as 3 s, and 0.7 s more.
-const KILL_AFTER: f64 = 3_700.0;
+/// How long after SIGTERM clients still open connections (ms); up to SIGKILL they ask on those that are open.
+const STILL_CONNECT: f64 = 300.0;
+/// The cell of endpoints that are only listed, and the number of the process that serves them.
+pub const LISTED_CELL: u32 = 9;
+const LISTED_NUMBER: usize = 1_000_000;
+
+/// What measuring may be off by on a machine that is not busy (ms).
+pub const USUAL_SLACK: f64 = 50.0;
 
 /// A stand-in's process: told on its standard input, heard on its standard output.
 pub struct StandIn {
@@ -94,6 +99,8 @@
     starts: Cell<u64>,
     /// Whether it is being restarted.
     pub busy: Cell<bool>,
+    /// Whether it was told to end, so long ago that no client opens connections to it any more.
+    leaving: Cell<bool>,
     conduct: Cell<ClientConduct>,
     wanted: Cell<ClientConduct>,
 }
@@ -115,6 +122,10 @@
     /// What all sidecars' calls fail by.
     pub faults: Cell<Faults>,
     discovery: StandIn,
+    /// Serves the endpoints that are only listed.
+    _listed: Option<StandIn>,
+    /// How much longer than the page says SIGKILL waits (ms): nothing, unless the machine is known to be busy.
+    pub kill_slack: f64,
     program: PathBuf,
     library: PathBuf,
     folder: PathBuf,
@@ -170,7 +181,8 @@
         let library = shim::build(folder)?;
         let mut sidecars = Vec::new();
         for (number, listen) in listens.iter().enumerate() {
-            let arguments = words([&"client", &number, listen, &(seed * 1_000 + number as u64), &slack]);
+            let own_seed = seed * 1_000 + number as u64;
+            let arguments = words([&"client", &number, listen, &own_seed, &slack, &settings.deadline]);
             let control = Control::new(folder.join(format!("sidecar-{number}.faults")));
             sidecars.push(Sidecar {
                 number,
@@ -182,20 +194,36 @@
                 child: RefCell::new(None),
                 starts: Cell::new(0),
                 busy: Cell::new(false),
+                leaving: Cell::new(false),
                 conduct: Cell::default(),
                 wanted: Cell::default(),
             });
         }
+        let mut registry = Registry::default();
+        let mut listed = None;
+        if settings.listed > 0 {
+            (registry.listed, registry.listed_port) = (settings.listed, free_ports(1)?[0]);
+            let arguments = words([
+                &"endpoint",
+                &LISTED_NUMBER,
+                &LISTED_CELL,
+                &registry.listed_port,
+                &(seed * 1_000 + 400),
+            ]);
+            listed = Some(StandIn::start(&arguments, records.clone())?);
+        }
         let program = program.canonicalize().map_err(|e| format!("{}: {e}", program.display()))?;
         let fleet = Rc::new(Fleet {
             settings,
             sidecars,
             endpoints: RefCell::default(),
-            registry: RefCell::default(),
+            registry: RefCell::new(registry),
             timeline: RefCell::default(),
             records,
             faults: Cell::default(),
             discovery,
+            _listed: listed,
+            kill_slack: (slack - USUAL_SLACK).max(0.0),
             program,
             library,
             folder: folder.to_owned(),
@@ -381,41 +409,70 @@
         true
     }
 
-    /// Sends a signal, by the shell's own kill.
-    pub fn signal(&self, number: usize, name: &str) {
-        let id = self.sidecars[number].child.borrow().as_ref().and_then(Child::id);
-        if let Some(id) = id {
-            let _ = std::process::Command::new("kill").arg(format!("-{name}")).arg(id.to_string()).status();
+    /// Sends a signal to a sidecar's process.
+    pub fn signal(&self, number: usize, signal: Signal) {
+        if let Some(id) = self.process(number) {
+            // One that has ended in this moment hears nothing.
+            let _ = kill_process(id, signal);
         }
     }
 
+    /// The id of a sidecar's process, which is not free before this program has seen its end.
+    fn process(&self, number: usize) -> Option<Pid> {
+        let id = self.sidecars[number].child.borrow().as_ref().and_then(Child::id);
+        id.and_then(|id| Pid::from_raw(id as i32))
+    }
+
     /// Replaces the configuration and says so.
     pub fn reload(&self, number: usize) {
         if self.write_config(&self.sidecars[number]).is_ok() {
-            self.signal(number, "HUP");
+            self.signal(number, Signal::HUP);
         }
     }
 
-    /// Ends a sidecar in order, as the platform does.
-    pub async fn stop(&self, number: usize) {
+    /// Ends a sidecar in order, as the platform does; further signals may come after the first (ms from then).
+    pub async fn stop(self: &Rc<Self>, number: usize, series: &[(f64, Signal)]) {
         let sidecar = &self.sidecars[number];
         self.event(number, SidecarEvent::Terminated);
-        self.signal(number, "TERM");
+        self.signal(number, Signal::TERM);
+        let process = self.process(number);
+        for (after, signal) in series.iter().copied() {
+            let fleet = self.clone();
+            spawn_local(async move {
+                sleep(after).await;
+                // Not the process that was started in its place.
+                if fleet.process(number) == process {
+                    fleet.signal(number, signal);
+                }
+            });
+        }
         let began = now();
-        sleep(STILL_ASK).await;
-        sidecar.say(ClientConduct::default()).await;
-        while now() - began < KILL_AFTER {
-            if self.exited(number, true) {
-                return;
-            }
-            sleep(10.0).await;
+        sleep(STILL_CONNECT).await;
+        sidecar.leaving.set(true);
+        sidecar.say(sidecar.wanted.get()).await;
+        let kill_after = self.settings.kill_after() + self.kill_slack;
+        while now() - began < kill_after && !self.exited(number, true) {
+            sleep(2.0).await;
         }
         if !self.exited(number, true) {
             self.event(number, SidecarEvent::Killed);
-            let child = sidecar.child.borrow_mut().take();
-            if let Some(mut child) = child {
-                let _ = child.kill().await;
-            }
+            self.kill(number).await;
+        }
+        sidecar.leaving.set(false);
+        sidecar.say(ClientConduct::default()).await;
+    }
+
+    /// Ends a sidecar without a word.
+    pub async fn kill_outright(&self, number: usize) {
+        self.event(number, SidecarEvent::KilledOutright);
+        self.kill(number).await;
+        self.sidecars[number].say(ClientConduct::default()).await;
+    }
+
+    async fn kill(&self, number: usize) {
+        let child = self.sidecars[number].child.borrow_mut().take();
+        if let Some(mut child) = child {
+            let _ = child.kill().await;
         }
     }
 
@@ -433,6 +490,7 @@
 impl Sidecar {
     /// Has its clients behave differently.
     async fn say(&self, conduct: ClientConduct) {
+        let conduct = ClientConduct { open_only: self.leaving.get(), ..conduct };
         self.conduct.set(conduct);
         self.clients.tell(&conduct).await;
     }
--- a/crates/soak/src/judge.rs
+++ b/crates/soak/src/judge.rs
@@ -222,6 +222,8 @@
                 }
                 return;
             }
+            // What a killed process held is the client's to repeat.
+            _ if self.killed_between(story.sidecar, story.sent, story.ended) => return,
             End::Silence => format!("no answer within {:.0} ms and half a second", story.timeout),
             End::Cut { new_connection: true, .. } => "closed with no answer, on a new connection".into(),
             End::Cut { .. } => "closed in the middle of an answer, or again and again".into(),
@@ -231,6 +233,16 @@
         self.report(Rule::Answer, story.ended, story, what);
     }
 
+    /// Whether a sidecar's process was killed without a word in this time.
+    fn killed_between(&self, sidecar: usize, from: f64, until: f64) -> bool {
+        let killed = |(at, of, event): &(f64, usize, SidecarEvent)| {
+            *of == sidecar
+                && *event == SidecarEvent::KilledOutright
+                && (from - self.slack..=until).contains(at)
+        };
+        self.timeline.sidecars.iter().any(killed)
+    }
+
     /// Whether a sidecar's process serves, from its start to its end.
     fn serves(&self, sidecar: usize, at: f64) -> bool {
         let mut events = self.timeline.sidecars.iter().filter(|(when, of, _)| *of == sidecar && *when <= at);
@@ -270,6 +282,10 @@
         }
         let ran: Vec<&Attempt> = story.attempts.iter().filter(|a| a.ran).collect();
         let Some((first, others)) = ran.split_first() else { return };
+        // The client itself sends again what a killed process held.
+        if self.killed_between(story.sidecar, story.sent - story.timeout, story.ended) {
+            return;
+        }
         for other in others {
             let after = other.whole - first.whole;
             let late = after > self.settings.window + TOLERANCE + self.slack + other.lag;
@@ -356,7 +372,7 @@
                 SidecarEvent::Exited { status, .. } => format!("ended with {status}"),
                 SidecarEvent::NeverReady => "never ready".into(),
                 SidecarEvent::Killed => "did not end before it was killed".into(),
-                SidecarEvent::Terminated => continue,
+                SidecarEvent::Terminated | SidecarEvent::KilledOutright => continue,
             };
             let (rule, sidecar) = (Rule::Limits, Some(*sidecar));
             self.found.push(Violation { rule, at: *at, sidecar, id: None, what });
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -79,7 +79,7 @@
     Discovery { ports: Vec<u16> },
     /// Be the clients of a sidecar; `run` starts this
     #[command(hide = true)]
-    Client { sidecar: usize, port: u16, seed: u64, slack: f64 },
+    Client { sidecar: usize, port: u16, seed: u64, slack: f64, deadline: f64 },
 }
 
 /// Runs a stand-in.
@@ -94,8 +94,8 @@
     match command {
         Command::Endpoint { number, cell, port, seed } => stand_in(endpoint::run(number, cell, port, seed)),
         Command::Discovery { ports } => stand_in(discovery::run(&ports)),
-        Command::Client { sidecar, port, seed, slack } => stand_in(async move {
-            client::run(sidecar, ([127, 0, 0, 1], port).into(), seed, slack).await;
+        Command::Client { sidecar, port, seed, slack, deadline } => stand_in(async move {
+            client::run(sidecar, ([127, 0, 0, 1], port).into(), seed, slack, deadline).await;
             Ok(())
         }),
         Command::Run { first, seeds, seconds, sidecars, endpoints, rate, capacity, slack, program, out } => {
--- a/crates/soak/src/records.rs
+++ b/crates/soak/src/records.rs
@@ -46,6 +46,8 @@
     Silence,
     /// No connection could be made.
     Unreachable,
+    /// The connection was closed as the request was sent on it, and no other may be opened.
+    Crossed,
 }
 
 /// An event that one of the processes saw. `lag` is how late that process itself ran then (ms).
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -116,7 +116,7 @@
     let ending: Vec<_> = (0..sidecars)
         .map(|number| {
             let fleet = fleet.clone();
-            spawn_local(async move { fleet.stop(number).await })
+            spawn_local(async move { fleet.stop(number, &[]).await })
         })
         .collect();
     for one in ending {
--- a/crates/soak/src/settings.rs
+++ b/crates/soak/src/settings.rs
@@ -1,9 +1,19 @@
 //! What the sidecars of a run are told, drawn by its seed.
 
+use rand::seq::IndexedRandom;
 use rand::Rng;
 use rand_chacha::ChaCha8Rng;
 use serde_json::{json, Value};
 
+/// Longest deadlines of a run (ms).
+const DEADLINES: [f64; 4] = [600.0, 1_000.0, 1_500.0, 3_000.0];
+/// A longer deadline counts as this one when the platform sets the time of SIGKILL, which comes so much later (ms).
+const LONGEST_DEADLINE: f64 = 3_000.0;
+const KILL_AFTER_DEADLINE: f64 = 700.0;
+/// Share of runs with a large list, and the endpoints that it names besides; the size of such a fleet.
+const LARGE: (f64, usize) = (0.25, 3_200);
+const LARGE_FLEET: usize = 300;
+
 /// The settings that the judge needs as well.
 #[derive(Clone, Copy, Debug)]
 pub struct Settings {
@@ -15,6 +25,12 @@
     pub cancel: bool,
     /// Whether lists are pushed.
     pub pushed: bool,
+    /// The longest deadline of a class (ms): SIGKILL comes that long, and 0.7 s, after SIGTERM.
+    pub deadline: f64,
+    /// Endpoints that are listed beside those that run; all of them are served by one process.
+    pub listed: usize,
+    /// Whether endpoints remember keys.
+    pub warm_keys: bool,
     /// Attempts allowed for one request.
     pub max_attempts: usize,
     /// Grace after word of a drain (ms).
@@ -36,14 +52,19 @@
 impl Settings {
     /// Settings for so many sidecars.
     pub fn draw(random: &mut ChaCha8Rng, sidecars: usize, capacity: f64) -> Settings {
+        let deadline = DEADLINES.choose(random).copied().unwrap_or(DEADLINES[0]);
+        let listed = if random.random_bool(LARGE.0) { LARGE.1 } else { 0 };
         Settings {
+            deadline,
+            listed,
+            warm_keys: random.random_bool(0.5),
             sidecars,
             second_copies: random.random_bool(0.5),
             cancel: random.random_bool(0.5),
             pushed: random.random_bool(0.3),
             max_attempts: random.random_range(2..4),
             drain_grace: 1_500.0,
-            window: random.random_range(600.0..2_000.0),
+            window: random.random_range(0.4..1.3) * deadline,
             capacity,
             cold_from: 0.12,
             warm_up: 20_000.0,
@@ -52,10 +73,24 @@
         }
     }
 
+    /// How long after SIGTERM the platform sends SIGKILL at the earliest (ms).
+    pub fn kill_after(&self) -> f64 {
+        self.deadline.min(LONGEST_DEADLINE) + KILL_AFTER_DEADLINE
+    }
+
+    /// Sidecars in the fleet, as the settings say: a large list belongs to a large fleet.
+    fn fleet_size(&self) -> usize {
+        if self.listed > 0 {
+            LARGE_FLEET
+        } else {
+            self.sidecars
+        }
+    }
+
     /// A sidecar's configuration.
     pub fn config(&self, name: &str, listen: u16, discovery: u16, seed: u64) -> Value {
         let micros = |millis: f64| (millis * 1e3) as u64;
-        let class = |name: &str, effect: &str| json!({"aim": 100_000, "effect": effect, "give_up": 1_500_000, "name": name, "worth": 1.0});
+        let class = |name: &str, effect: &str| json!({"aim": 100_000, "effect": effect, "give_up": micros(self.deadline), "name": name, "worth": 1.0});
         let mut keyed = class("stock-update", "dedup");
         keyed["group"] = json!("cell");
         keyed["window"] = json!(micros(self.window));
@@ -64,7 +99,8 @@
             "seed": format!("{seed:x}"), "limits": {"sockets": 256},
             "settings": {
                 "discovery": if self.pushed { "pushed" } else { "on_request" },
-                "fleet_size": self.sidecars,
+                "fleet_size": self.fleet_size(),
+                "family_info": {"warm_keys": self.warm_keys},
                 "prices": {"probe": 0.1},
                 "limits": {"cancel": self.cancel, "max_attempts": self.max_attempts, "max_retry_after": 1_000_000,
                     "probes": true, "retry_after": true, "second_copies": self.second_copies},
--- a/crates/soak/src/timeline.rs
+++ b/crates/soak/src/timeline.rs
@@ -15,6 +15,8 @@
     NeverReady,
     /// It was still there when SIGKILL came.
     Killed,
+    /// It was sent SIGKILL without a word before.
+    KilledOutright,
 }
 
 /// A change of an endpoint's state.
