--- a/crates/roseproxy/src/shutdown.rs
+++ b/crates/roseproxy/src/shutdown.rs
@@ -18,8 +18,9 @@
 const KILL_AFTER_DEADLINE: f64 = 700.0;
 /// A longer deadline counts as this one when the platform sets the time of SIGKILL (ms).
 const LONGEST_DEADLINE: f64 = 3_000.0;
-/// How long before SIGKILL the requests that are still open are answered as failed (ms).
-const FAIL_OPEN_BEFORE_KILL: f64 = 150.0;
+/// How long before SIGKILL the requests that are still open are answered as failed (ms): longer than the platform may hold up the
+/// process, so that this is done in time.
+const FAIL_OPEN_BEFORE_KILL: f64 = 200.0;
 /// How long before SIGKILL the process ends (ms).
 const EXIT_BEFORE_KILL: f64 = 30.0;
 /// How often the drain looks whether it is complete (ms).
@@ -46,12 +47,10 @@
     listener.enter(Phase::Closing);
     let drained = || gateway.open_flows() == 0 && listener.quiet_for(QUIET);
     until(clock, killed_at - FAIL_OPEN_BEFORE_KILL, drained).await;
-    let mut failed = 0;
-    tokio::select! {
-        biased;
-        () = until(clock, killed_at - EXIT_BEFORE_KILL, drained) => {}
-        () = fail_open_requests(gateway, &mut failed) => {}
-    }
+    // What is open near SIGKILL would be lost with the process, and so would what comes only now, on a connection that has
+    // waited for a place: from here on nothing is open for longer than it takes to answer it.
+    let failed = gateway.end();
+    until(clock, killed_at - EXIT_BEFORE_KILL, drained).await;
     failed
 }
 
@@ -62,16 +61,6 @@
     }
 }
 
-/// Answers whatever is open as failed, again and again: what is open near SIGKILL would be lost with the process, and
-/// so would a request that comes only now, on a connection that has waited for a place. Never returns.
-async fn fail_open_requests<N: Network>(gateway: &Rc<Gateway<N>>, failed: &mut usize) {
-    loop {
-        *failed += gateway.open_flows();
-        gateway.fail_all();
-        sleep(POLL_INTERVAL).await;
-    }
-}
-
 async fn sleep(millis: f64) {
     tokio::time::sleep(Duration::from_secs_f64(millis / 1e3)).await;
 }
--- a/crates/routing/src/admit.rs
+++ b/crates/routing/src/admit.rs
@@ -12,6 +12,8 @@
         // against work for a client that has no time left to hear of it.
         let room = self.flows.len() <= self.settings.network.max_open;
         let reason = match (room, time_left > 0.0) {
+            // What is open when the process ends is lost: nothing is taken on any more that cannot be answered at once.
+            _ if self.ending => RefusalReason::Ending,
             (true, true) => return true,
             (false, _) => RefusalReason::NoRoom,
             (true, false) => RefusalReason::NoTime,
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -116,6 +116,8 @@
     /// What endpoints that have just started may be sent, and when what warm ones serve was last taken in.
     slow_start: SlowStart,
     observed_at: f64,
+    /// Whether the process is about to end.
+    ending: bool,
     /// What came in, went out and was answered.
     pub book: Book,
     /// What happened of late, and why.
@@ -138,6 +140,7 @@
             balancer,
             slow_start: SlowStart::new(settings.balancers, settings.ramp()),
             observed_at: 0.0,
+            ending: false,
             settings,
             flows: HashMap::new(),
             forwards: HashMap::new(),
--- a/crates/routing/src/relay.rs
+++ b/crates/routing/src/relay.rs
@@ -26,7 +26,7 @@
 
     fn answer_as(&mut self, now: f64, id: FlowId, answer: Answer, refusal: Option<RefusalReason>) {
         // One that is not admitted is answered as soon as it is read.
-        if !matches!(refusal, Some(RefusalReason::NoTime | RefusalReason::NoRoom)) {
+        if !matches!(refusal, Some(RefusalReason::NoTime | RefusalReason::NoRoom | RefusalReason::Ending)) {
             self.check_answer_time(now, id);
         }
         if !self.close_flow(now, id) {
@@ -62,8 +62,9 @@
         self.tell(now, Event::Expired { request: id });
     }
 
-    /// Answers every flow that is open as failed: the program is about to end.
-    pub fn fail_all(&mut self, now: f64) {
+    /// The process is about to end: answers every flow that is open as failed, and refuses from here on whatever comes.
+    pub fn end(&mut self, now: f64) {
+        self.ending = true;
         for id in self.open_ids() {
             self.fail(now, id);
         }
--- a/crates/routing/tests/invariants.rs
+++ b/crates/routing/tests/invariants.rs
@@ -115,7 +115,7 @@
     host.attempt_whole(NOW + 200.0, id, 980.0);
     assert_eq!(violations(&host), ["violations_deadline_too_long"]);
     host.forward_ended(NOW + 1_600.0, id, ForwardEnd::Lost(Outcome::Error), None);
-    host.fail_all(NOW + 1_600.0);
+    host.end(NOW + 1_600.0);
     assert_eq!(count(&host, "violations_late_answer"), 1);
     assert!(host.events.text().contains("VIOLATED late_answer"));
 }
--- a/crates/transport/src/gateway.rs
+++ b/crates/transport/src/gateway.rs
@@ -248,10 +248,13 @@
         self.host.borrow().can_serve()
     }
 
-    /// Answers all flows that are open as failed: the program is about to end.
-    pub fn fail_all(self: &Rc<Self>) {
-        self.host.borrow_mut().fail_all(self.now());
+    /// The process is about to end: answers all flows that are open as failed, and refuses whatever comes from here on.
+    /// Returns how many were open.
+    pub fn end(self: &Rc<Self>) -> usize {
+        let open = self.open_flows();
+        self.host.borrow_mut().end(self.now());
         self.settle();
+        open
     }
 
     /// Flows without an answer.
