Fail, and not refuse, what comes in the last moments before the exit

It is failed as before; refused_ending does not exist. The tests of last moments, crossings, restarts and signals pass.

--- a/crates/routing/src/admit.rs
+++ b/crates/routing/src/admit.rs
@@ -1,7 +1,7 @@
 //! Stage 2: what never reaches the module gets its fixed response at once.
 
 use super::event_log::RefusalReason;
-use super::flow::FlowId;
+use super::flow::{Answer, FlowId};
 use super::Host;
 
 impl Host {
@@ -12,13 +12,17 @@
         // against work for a client that has no time left to hear of it.
         let room = self.flows.len() <= self.settings.network.max_open;
         let reason = match (room, time_left > 0.0) {
+            (true, true) if !self.ending => return true,
+            (_, false) => Some(RefusalReason::NoTime),
+            (false, _) => Some(RefusalReason::NoRoom),
             // What is open when the process ends is lost: nothing is taken on any more that cannot be answered at once.
-            _ if self.ending => RefusalReason::Ending,
-            (true, true) => return true,
-            (false, _) => RefusalReason::NoRoom,
-            (true, false) => RefusalReason::NoTime,
+            (true, true) => None,
         };
         self.book.turned_back += 1;
+        let Some(reason) = reason else {
+            self.answer(now, id, Answer::Failed);
+            return false;
+        };
         self.refuse(now, id, 0.0, reason);
         false
     }
--- a/crates/routing/src/event_log.rs
+++ b/crates/routing/src/event_log.rs
@@ -25,8 +25,6 @@
     NoRoom,
     /// The client has no time left.
     NoTime,
-    /// The process is about to end.
-    Ending,
     /// The module knows no such class.
     UnknownClass,
     /// No endpoint was in service until its time was nearly over.
@@ -40,10 +38,9 @@
 }
 
 /// All reasons of refusals with the names that they are counted under.
-pub const REFUSALS: [(RefusalReason, &str); 8] = [
+pub const REFUSALS: [(RefusalReason, &str); 7] = [
     (RefusalReason::NoRoom, "no_room"),
     (RefusalReason::NoTime, "no_time"),
-    (RefusalReason::Ending, "ending"),
     (RefusalReason::UnknownClass, "unknown_class"),
     (RefusalReason::NoEndpoint, "no_endpoint"),
     (RefusalReason::SlowStart, "slow_start"),
--- a/crates/routing/src/relay.rs
+++ b/crates/routing/src/relay.rs
@@ -26,7 +26,7 @@
 
     fn answer_as(&mut self, now: f64, id: FlowId, answer: Answer, refusal: Option<RefusalReason>) {
         // One that is not admitted is answered as soon as it is read.
-        if !matches!(refusal, Some(RefusalReason::NoTime | RefusalReason::NoRoom | RefusalReason::Ending)) {
+        if !matches!(refusal, Some(RefusalReason::NoTime | RefusalReason::NoRoom)) {
             self.check_answer_time(now, id);
         }
         if !self.close_flow(now, id) {
@@ -62,7 +62,7 @@
         self.tell(now, Event::Expired { request: id });
     }
 
-    /// The process is about to end: answers every flow that is open as failed, and refuses from here on whatever comes.
+    /// The process is about to end: answers every flow that is open as failed, and whatever comes from here on.
     pub fn end(&mut self, now: f64) {
         self.ending = true;
         for id in self.open_ids() {
--- a/crates/transport/src/gateway.rs
+++ b/crates/transport/src/gateway.rs
@@ -248,7 +248,7 @@
         self.host.borrow().can_serve()
     }
 
-    /// The process is about to end: answers all flows that are open as failed, and refuses whatever comes from here on.
+    /// The process is about to end: answers all flows that are open as failed, and whatever comes from here on.
     /// Returns how many were open.
     pub fn end(self: &Rc<Self>) -> usize {
         let open = self.open_flows();
