Try accepting again at once where it failed a few times: clients wait behind a crowd meanwhile

Cause: each failed accept rested 2 ms. Change: up to 64 errors in a row are tried again without a rest, whatever the error; before that only those of one connection (16).

--- a/crates/roseproxy/tests/common/faulty.rs
+++ b/crates/roseproxy/tests/common/faulty.rs
@@ -16,6 +16,10 @@
 pub struct Faulty {
     /// Accepting fails with this error, where one is set.
     pub accepts: Rc<Cell<Option<i32>>>,
+    /// Where accepting fails, one call in so many does not; 0 for none.
+    pub accepts_one_in: Rc<Cell<u32>>,
+    /// Calls that accepted, or failed to.
+    calls: Rc<Cell<u32>>,
     /// Clients that could not be accepted yet.
     backlog: Rc<RefCell<VecDeque<(Accepted, Peek)>>>,
     /// Connecting fails with this error, where one is set.
@@ -44,16 +48,19 @@
 
     async fn accept(&self, listener: &TcpListener) -> io::Result<(Self::Accepted, Peek)> {
         // The system fails a call only once there is something to accept, which stays where it is.
-        if self.backlog.borrow().is_empty() || self.accepts.get().is_none() {
+        self.calls.set(self.calls.get() + 1);
+        let one_in = self.accepts_one_in.get();
+        let succeeds = self.accepts.get().is_none() || (one_in > 0 && self.calls.get() % one_in == 0);
+        if self.backlog.borrow().is_empty() || succeeds {
             let next = self.backlog.borrow_mut().pop_front();
             let (stream, peek) = match next {
                 Some(waiting) => waiting,
                 None => Tcp.accept(listener).await?,
             };
-            if self.accepts.get().is_none() {
+            if succeeds || self.accepts.get().is_none() {
                 return Ok((self.stream(stream), peek));
             }
-            self.backlog.borrow_mut().push_back((stream, peek));
+            self.backlog.borrow_mut().push_front((stream, peek));
         }
         Err(Error::from_raw_os_error(self.accepts.get().unwrap_or(0)))
     }
--- a/crates/roseproxy/tests/system_calls.rs
+++ b/crates/roseproxy/tests/system_calls.rs
@@ -93,3 +93,27 @@
         assert!(took <= OWED, "closed after {took:?}");
     });
 }
+
+/// Nine accepts of ten fail, and a crowd of clients that ask nothing stands before the one that does.
+#[test]
+fn a_client_behind_a_crowd_is_accepted_soon_where_most_accepts_fail() {
+    const CROWD: usize = 100;
+    timeless(async {
+        let (endpoint, address) = port().await;
+        let network = Faulty::default();
+        network.accepts.set(Some(ENFILE));
+        network.accepts_one_in.set(10);
+        let clock = Clock::manual(0.0);
+        let sidecar = sidecar_on(network, quick(), clock, &[address], 2 * CROWD, 20).await;
+        let _served = spawn_local(serve(endpoint, 1));
+        let mut crowd = Vec::new();
+        for _ in 0..CROWD {
+            crowd.push(std::net::TcpStream::connect(sidecar.address).expect("the system accepts"));
+        }
+        let began = tokio::time::Instant::now();
+        let mut client = TcpStream::connect(sidecar.address).await.expect("connects");
+        ask(&mut client, &request("place-order", "waits", "b")).await;
+        let waited = began.elapsed();
+        assert!(waited < Duration::from_millis(200), "{waited:?}");
+    });
+}
--- a/crates/transport/src/accepting.rs
+++ b/crates/transport/src/accepting.rs
@@ -3,11 +3,12 @@
 use super::network::{Network, Peek};
 use std::cell::Cell;
 use std::future::{poll_fn, Future};
-use std::io::{self, ErrorKind};
+use std::io;
 use std::pin::pin;
 
-/// Errors of single connections in a row after which accepting rests all the same: against a busy loop.
-const MOST_WITHOUT_REST: u32 = 16;
+/// Errors in a row after which accepting rests: against a busy loop. Fewer say nothing of the next call: they are of one connection
+/// alone, or what is short is there again in a moment, and all clients that have connected wait meanwhile.
+const MOST_WITHOUT_REST: u32 = 64;
 /// Errors in a row, half a second of them, after which what is short is short for longer.
 const FOR_A_MOMENT: u32 = 250;
 /// How long accepting rests after an error (ms): while something may be short for a moment, and for longer.
@@ -68,12 +69,10 @@
         accepted.map(|(stream, peek)| Accepted { stream, peek, came: self.caught_up.get() })
     }
 
-    /// How long to rest after an error (ms). One of that connection alone says nothing of the next; what is short may be
-    /// there again in a moment, and clients wait.
-    pub fn rest_after(&self, error: &io::Error) -> f64 {
-        let of_one = matches!(error.kind(), ErrorKind::Interrupted | ErrorKind::ConnectionAborted);
+    /// How long to rest after the last error (ms).
+    pub fn rest(&self) -> f64 {
         match self.errors.get() {
-            0..MOST_WITHOUT_REST if of_one => 0.0,
+            0..MOST_WITHOUT_REST => 0.0,
             0..FOR_A_MOMENT => RESTS.0,
             _ => RESTS.1,
         }
--- a/crates/transport/src/listener.rs
+++ b/crates/transport/src/listener.rs
@@ -166,9 +166,9 @@
             match accepted {
                 Ok(accepted) => self.clone().seat(accepted).await,
                 // Descriptors may be out, or the client has left again: neither ends the listener.
-                Err(e) => {
+                Err(_) => {
                     count(&self.gateway.traffic.accept_errors);
-                    let rest = self.acceptor.rest_after(&e);
+                    let rest = self.acceptor.rest();
                     if rest > 0.0 {
                         tokio::time::sleep(length(rest)).await;
                     }
