--- a/crates/decision/src/affinity.rs
+++ b/crates/decision/src/affinity.rs
@@ -29,6 +29,11 @@
             return;
         }
         self.places_at = self.table_at;
+        if !self.in_order {
+            // Most are: a change of the list moves a few.
+            self.slots_by_id.sort_by_key(|slot| self.backends[*slot].info.id);
+            self.in_order = true;
+        }
         let speeds: f64 = self.backends.iter().filter(|b| b.ready()).map(|b| b.speed).sum();
         let mut places = Vec::with_capacity(self.places.len());
         for at in 0..self.slots_by_id.len() {
--- a/crates/decision/src/state.rs
+++ b/crates/decision/src/state.rs
@@ -202,8 +202,10 @@
     pub(crate) places: Vec<Place>,
     pub(crate) places_at: Option<Micros>,
     pub(crate) places_generation: u64,
-    /// All slots that have been given away, by the servers' ids.
+    /// All slots, by the servers' ids once they have been put in order.
     pub(crate) slots_by_id: Vec<usize>,
+    /// Whether they are.
+    pub(crate) in_order: bool,
     /// When lateness was last let fade.
     pub(crate) faded_at: Option<Micros>,
     /// Mean reported load for each unit of capacity, and mean capacity.
@@ -272,27 +274,17 @@
     pub(crate) fn place(&mut self, id: ServerId) -> usize {
         let slot = self.free_slot().unwrap_or(self.backends.len());
         match self.backends.get_mut(slot) {
-            Some(gone) => {
-                let gone = std::mem::take(gone).info.id;
-                self.slots.remove(&gone);
-                self.forget_order(gone, slot);
+            Some(gone) => drop(self.slots.remove(&std::mem::take(gone).info.id)),
+            None => {
+                self.backends.push(Backend::default());
+                self.slots_by_id.push(slot);
             }
-            None => self.backends.push(Backend::default()),
         }
-        self.backends[slot].info.id = id;
         self.slots.insert(id, slot);
-        let at = self.slots_by_id.partition_point(|s| self.backends[*s].info.id < id);
-        self.slots_by_id.insert(at, slot);
+        self.in_order = false;
         slot
     }
 
-    /// Takes the slot of a server that is forgotten out of the order by ids.
-    fn forget_order(&mut self, gone: ServerId, slot: usize) {
-        let id = |s: &usize| if *s == slot { gone } else { self.backends[*s].info.id };
-        let at = self.slots_by_id.partition_point(|s| id(s) < gone);
-        self.slots_by_id.remove(at);
-    }
-
     fn free_slot(&mut self) -> Option<usize> {
         if self.backends.len() < MOST {
             return None;
@@ -366,6 +358,7 @@
             places_at: None,
             places_generation: 0,
             slots_by_id: Vec::new(),
+            in_order: true,
             shut_since: None,
             faded_at: None,
             mean_load: 0.0,
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -7,6 +7,7 @@
 
 pub mod answer;
 pub mod discovery;
+mod list_reader;
 pub mod load;
 pub mod outcome;
 pub mod request;
--- a/crates/roseproxy/src/config.rs
+++ b/crates/roseproxy/src/config.rs
@@ -32,7 +32,7 @@
     pub settings: Settings,
     /// How the platform names classes.
     pub dialect: Dialect,
-    /// The file itself, to tell later what a new one changes.
+    /// The file itself but for the list, to tell later what a new one changes.
     pub file: Value,
 }
 
@@ -91,7 +91,7 @@
 
     /// Reads a configuration's text.
     pub fn read(text: &str, variable: impl Fn(&str) -> Option<String>) -> Result<Config, String> {
-        let all: Value = serde_json::from_str(text).map_err(|e| format!("LB_CONFIG is not JSON: {e}"))?;
+        let mut all: Value = serde_json::from_str(text).map_err(|e| format!("LB_CONFIG is not JSON: {e}"))?;
         if !all.is_object() {
             return Err("LB_CONFIG is no JSON object".into());
         }
@@ -105,7 +105,7 @@
         };
         let settings = all.get("settings").ok_or("settings is missing")?;
         let (settings, dialect) = read_settings(settings)?;
-        Ok(Config {
+        let config = Config {
             name: text("name", "LB_NAME")?,
             listen: address("listen", "LB_LISTEN")?,
             discovery: address("discovery", "LB_DISCOVERY")?,
@@ -117,8 +117,11 @@
             },
             settings,
             dialect,
-            file: all,
-        })
+            file: Value::Null,
+        };
+        // Thousands of entries, which nothing is ever held against.
+        all.as_object_mut().and_then(|all| all.remove("known"));
+        Ok(Config { file: all, ..config })
     }
 }
 
--- a/crates/transport/src/accepting.rs
+++ b/crates/transport/src/accepting.rs
@@ -73,7 +73,7 @@
     pub fn rest(&self) -> f64 {
         match self.errors.get() {
             0..MOST_WITHOUT_REST => 0.0,
-            0..FOR_A_MOMENT => RESTS.0,
+            MOST_WITHOUT_REST..FOR_A_MOMENT => RESTS.0,
             _ => RESTS.1,
         }
     }
