--- a/crates/roseproxy/tests/common/faulty.rs
+++ b/crates/roseproxy/tests/common/faulty.rs
@@ -3,7 +3,7 @@
 use roseproxy_transport::network::{Network, Peek, Tcp};
 use std::cell::{Cell, RefCell};
 use std::collections::VecDeque;
-use std::io::{self, Error, ErrorKind};
+use std::io::{self, Error};
 use std::net::SocketAddr;
 use std::pin::Pin;
 use std::rc::Rc;
@@ -24,23 +24,23 @@
     backlog: Rc<RefCell<VecDeque<(Accepted, Peek)>>>,
     /// Connecting fails with this error, where one is set.
     pub connects: Rc<Cell<Option<i32>>>,
-    /// Every other call on a stream is interrupted first.
-    pub interrupts: Rc<Cell<bool>>,
+    /// Every other call on a stream fails with this error first, where one is set.
+    pub calls_fail: Rc<Cell<Option<i32>>>,
 }
 
 type Accepted = <Tcp as Network>::Accepted;
 
 /// A stream of it.
-pub struct Interrupted<S> {
+pub struct Failing<S> {
     stream: S,
-    interrupts: Rc<Cell<bool>>,
+    calls_fail: Rc<Cell<Option<i32>>>,
     calls: u64,
 }
 
 impl Network for Faulty {
     type Listener = TcpListener;
-    type Accepted = Interrupted<<Tcp as Network>::Accepted>;
-    type Opened = Interrupted<<Tcp as Network>::Opened>;
+    type Accepted = Failing<<Tcp as Network>::Accepted>;
+    type Opened = Failing<<Tcp as Network>::Opened>;
 
     async fn listen(&self, address: SocketAddr) -> io::Result<TcpListener> {
         Tcp.listen(address).await
@@ -75,36 +75,35 @@
 }
 
 impl Faulty {
-    fn stream<S>(&self, stream: S) -> Interrupted<S> {
-        Interrupted { stream, interrupts: self.interrupts.clone(), calls: 0 }
+    fn stream<S>(&self, stream: S) -> Failing<S> {
+        Failing { stream, calls_fail: self.calls_fail.clone(), calls: 0 }
     }
 }
 
-impl<S> Interrupted<S> {
-    fn interrupted(&mut self) -> bool {
+impl<S> Failing<S> {
+    fn fails(&mut self) -> io::Result<()> {
         self.calls += 1;
-        self.interrupts.get() && self.calls % 2 == 1
+        match self.calls_fail.get() {
+            Some(error) if self.calls % 2 == 1 => Err(Error::from_raw_os_error(error)),
+            _ => Ok(()),
+        }
     }
 }
 
-impl<S: AsyncRead + Unpin> AsyncRead for Interrupted<S> {
+impl<S: AsyncRead + Unpin> AsyncRead for Failing<S> {
     fn poll_read(
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        if self.interrupted() {
-            return Poll::Ready(Err(ErrorKind::Interrupted.into()));
-        }
+        self.fails()?;
         Pin::new(&mut self.stream).poll_read(cx, buf)
     }
 }
 
-impl<S: AsyncWrite + Unpin> AsyncWrite for Interrupted<S> {
+impl<S: AsyncWrite + Unpin> AsyncWrite for Failing<S> {
     fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
-        if self.interrupted() {
-            return Poll::Ready(Err(ErrorKind::Interrupted.into()));
-        }
+        self.fails()?;
         Pin::new(&mut self.stream).poll_write(cx, buf)
     }
 
--- a/crates/roseproxy/tests/system_calls.rs
+++ b/crates/roseproxy/tests/system_calls.rs
@@ -5,7 +5,7 @@
 use common::faulty::Faulty;
 use common::*;
 use roseproxy::Clock;
-use roseproxy_transport::errno::ENFILE;
+use roseproxy_transport::errno::{EINTR, ENFILE, ENOBUFS, ENOMEM};
 use std::time::Duration;
 use tokio::net::TcpStream;
 use tokio::task::spawn_local;
@@ -68,7 +68,7 @@
     scene(async {
         let (endpoint, address) = port().await;
         let network = Faulty::default();
-        network.interrupts.set(true);
+        network.calls_fail.set(Some(EINTR));
         let sidecar = sidecar_on(network, quick(), Clock::system(), &[address], 20, 20).await;
         let served = spawn_local(serve(endpoint, 1));
         let mut client = TcpStream::connect(sidecar.address).await.expect("connects");
@@ -117,3 +117,25 @@
         assert!(waited < Duration::from_millis(200), "{waited:?}");
     });
 }
+
+/// Linux documents that sends may fail for want of buffers, and receives for want of memory: that says nothing of the
+/// connection, and all that was taken in is still owed.
+#[test]
+fn calls_that_fail_for_want_of_memory_or_buffers_cost_no_request() {
+    for error in [ENOBUFS, ENOMEM] {
+        scene(async {
+            let (endpoint, address) = port().await;
+            let network = Faulty::default();
+            let sidecar = sidecar_on(network.clone(), quick(), Clock::system(), &[address], 20, 20).await;
+            let served = spawn_local(serve(endpoint, 3));
+            let mut client = TcpStream::connect(sidecar.address).await.expect("connects");
+            ask(&mut client, &request("place-order", "first", "b")).await;
+            network.calls_fail.set(Some(error));
+            for id in ["second", "third"] {
+                let answer = try_ask(&mut client, &request("place-order", id, "b")).await;
+                assert!(answer.is_some_and(|answer| answer.ends_with("priced")), "{id}, error {error}");
+            }
+            assert_eq!(served.await.expect("no panic").len(), 3, "each is sent once");
+        });
+    }
+}
