--- a/crates/soak/shim/faults.c
+++ b/crates/soak/shim/faults.c
@@ -27,7 +27,7 @@
     struct fault accept;
     struct fault socket;
     struct fault connect;
-    struct fault interrupt; /* reads, writes and waits */
+    struct fault interrupt; /* reads and writes; waits too where it is EINTR */
     struct fault shorten;   /* reads and writes of a part */
     struct fault broken;    /* connections that this process opened */
     struct fault config;    /* opening the configuration */
@@ -172,7 +172,8 @@
 
 int epoll_wait(int fd, struct epoll_event *events, int most, int timeout) {
     CACHED(epoll_wait);
-    if (control && strikes(&control->interrupt))
+    /* Of the errors of reads and writes this call knows one. */
+    if (control && control->interrupt.error == EINTR && strikes(&control->interrupt))
         return -1;
     return real(fd, events, most, timeout);
 }
--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -107,6 +107,8 @@
     Connect(u32),
     /// Reads, writes and waits are interrupted.
     Interrupt,
+    /// Reads and writes fail for want of something, with this error.
+    Short(u32),
     /// Reads and writes take a part.
     Shorten,
     /// Connections to endpoints and discovery break, with this error.
@@ -155,6 +157,9 @@
     Kind::Calls(Failing::Connect(errno::EADDRNOTAVAIL)),
     Kind::Calls(Failing::Connect(errno::ENETUNREACH)),
     Kind::Calls(Failing::Interrupt),
+    Kind::Calls(Failing::Short(errno::ENOMEM)),
+    Kind::Calls(Failing::Short(errno::ENOBUFS)),
+    Kind::Calls(Failing::Connect(errno::EPERM)),
     Kind::Calls(Failing::Shorten),
     Kind::Calls(Failing::Broken(errno::ETIMEDOUT)),
     Kind::Calls(Failing::Broken(errno::EHOSTUNREACH)),
@@ -413,6 +418,7 @@
         Failing::Socket(error) => faults.socket = fault(error, 700_000),
         Failing::Connect(error) => faults.connect = fault(error, 700_000),
         Failing::Interrupt => faults.interrupt = fault(errno::EINTR, 100_000),
+        Failing::Short(error) => faults.interrupt = fault(error, 100_000),
         Failing::Shorten => faults.shorten = fault(errno::EINTR, 300_000),
         Failing::Broken(error) => faults.broken = fault(error, 20_000),
         Failing::Log(error) => faults.log = fault(error, 1_000_000),
--- a/crates/soak/src/shim.rs
+++ b/crates/soak/src/shim.rs
@@ -15,6 +15,10 @@
     pub const EIO: u32 = 5;
     /// Interrupted by a signal.
     pub const EINTR: u32 = 4;
+    /// No memory is left.
+    pub const ENOMEM: u32 = 12;
+    /// Not permitted.
+    pub const EPERM: u32 = 1;
     /// The machine is out of descriptors.
     pub const ENFILE: u32 = 23;
     /// The process is out of descriptors.
@@ -53,7 +57,7 @@
     pub socket: Fault,
     /// Connecting.
     pub connect: Fault,
-    /// Reads, writes and waits.
+    /// Reads and writes; waits too where it is EINTR.
     pub interrupt: Fault,
     /// Reads and writes take a part; its error has no meaning.
     pub shorten: Fault,
