--- a/crates/roseproxy/tests/starts.rs
+++ b/crates/roseproxy/tests/starts.rs
@@ -63,3 +63,32 @@
     std::fs::remove_file(&path).expect("it is there");
     assert_eq!(status.and_then(|s| s.code()), Some(1));
 }
+
+/// The runtime and the signals need descriptors of their own before anything else.
+#[test]
+fn descriptors_that_are_short_for_a_moment_are_waited_for() {
+    let port = TcpListener::bind("127.0.0.1:0").and_then(|l| l.local_addr()).expect("a port").port();
+    let mut file = config().file;
+    file["listen"] = json!(format!("127.0.0.1:{port}"));
+    let path = std::env::temp_dir().join(format!("roseproxy-descriptors-{}.json", std::process::id()));
+    std::fs::write(&path, file.to_string()).expect("written");
+    for few in 4..9 {
+        let limited = format!("ulimit -Sn {few}; exec {}", env!("CARGO_BIN_EXE_roseproxy"));
+        let mut command = Command::new("sh");
+        let mut program = command
+            .args(["-c", &limited])
+            .env("LB_CONFIG", &path)
+            .stderr(Stdio::null())
+            .spawn()
+            .expect("a shell");
+        std::thread::sleep(Duration::from_millis(400));
+        let waits = program.try_wait().expect("a child").is_none();
+        let raised =
+            Command::new("prlimit").args(["--nofile=128:", "--pid", &program.id().to_string()]).status();
+        let accepts = waits && raised.expect("util-linux has it").success() && accepts(&mut program, port);
+        let _ = program.kill();
+        let _ = program.wait();
+        assert!(waits && accepts, "{few} descriptors: waits {waits}, accepts {accepts}");
+    }
+    std::fs::remove_file(&path).expect("it is there");
+}
