Wait at a start for the descriptors that the runtime and the signals need

Cause: with few descriptors for a moment the runtime could not be made, which ended the start ('4 descriptors: waits false'), or ended the process by its own panic where the signals' pipe failed. Change: the start looks for as many descriptors as both need, each 100 ms for 15 s at most, before it makes them.

--- a/crates/roseproxy/src/main.rs
+++ b/crates/roseproxy/src/main.rs
@@ -5,7 +5,7 @@
 use roseproxy::log::Log;
 use roseproxy::signals::Signals;
 use roseproxy::start::{serve, Surroundings};
-use roseproxy::startup::patiently;
+use roseproxy::startup::{patiently, wait_for_descriptors};
 use roseproxy::Clock;
 use roseproxy_transport::network::Tcp;
 use std::process::ExitCode;
@@ -13,6 +13,7 @@
 
 fn run(log: &Rc<Log>) -> Result<(), String> {
     let read = || Config::load(|name| std::env::var(name).ok());
+    wait_for_descriptors(&|line| log.say(line));
     // One thread: the platform gives the program one core, and routing needs no locks then.
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
     let runtime = runtime.map_err(|e| format!("runtime: {e}"))?;
