--- a/crates/soak/src/fleet.rs
+++ b/crates/soak/src/fleet.rs
@@ -4,9 +4,9 @@
 use crate::records::{now, Record};
 use crate::settings::Settings;
 use crate::shim::{self, Control, Faults};
+use crate::stand_in::StandIn;
 use crate::timeline::{EndpointEvent, SidecarEvent, Timeline};
 use rustix::process::{kill_process, Pid, Signal};
-use serde::Serialize;
 use std::cell::{Cell, RefCell};
 use std::net::TcpListener;
 use std::ops::Range;
@@ -15,9 +15,9 @@
 use std::rc::Rc;
 use std::sync::atomic::{AtomicU16, Ordering};
 use std::time::Duration;
-use tokio::io::{AsyncBufReadExt, AsyncReadExt, AsyncWriteExt, BufReader};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
-use tokio::process::{Child, ChildStdin, Command};
+use tokio::process::{Child, Command};
 use tokio::task::spawn_local;
 
 /// Where ports are looked for.
@@ -33,49 +33,6 @@
 /// What measuring may be off by on a machine that is not busy (ms).
 pub const USUAL_SLACK: f64 = 50.0;
 
-/// A stand-in's process: told on its standard input, heard on its standard output.
-pub struct StandIn {
-    input: RefCell<Option<ChildStdin>>,
-    child: RefCell<Child>,
-}
-
-impl StandIn {
-    fn start(arguments: &[String], records: Rc<RefCell<Vec<Record>>>) -> Result<StandIn, String> {
-        let program = std::env::current_exe().map_err(|e| e.to_string())?;
-        let mut command = Command::new(program);
-        command.args(arguments).stdin(Stdio::piped()).stdout(Stdio::piped()).kill_on_drop(true);
-        let mut child = command.spawn().map_err(|e| format!("{}: {e}", arguments[0]))?;
-        let input = RefCell::new(child.stdin.take());
-        if let Some(output) = child.stdout.take() {
-            spawn_local(async move {
-                let mut lines = BufReader::new(output).lines();
-                while let Ok(Some(line)) = lines.next_line().await {
-                    if let Ok(record) = serde_json::from_str(&line) {
-                        records.borrow_mut().push(record);
-                    }
-                }
-            });
-        }
-        Ok(StandIn { input, child: RefCell::new(child) })
-    }
-
-    /// Tells it how to behave from now on.
-    pub async fn tell(&self, conduct: &impl Serialize) {
-        let Ok(mut line) = serde_json::to_string(conduct) else { return };
-        line.push('\n');
-        let taken = self.input.borrow_mut().take();
-        let Some(mut input) = taken else { return };
-        // One that has been killed hears nothing.
-        let _ = input.write_all(line.as_bytes()).await;
-        *self.input.borrow_mut() = Some(input);
-    }
-
-    /// Ends it at once: its connections are reset.
-    pub fn kill(&self) {
-        let _ = self.child.borrow_mut().start_kill();
-    }
-}
-
 /// A config server.
 pub struct Endpoint {
     /// Its entry in the list.
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -18,6 +18,7 @@
 mod run;
 mod settings;
 mod shim;
+mod stand_in;
 mod timeline;
 
 use clap::{Parser, Subcommand};
--- a/crates/transport/src/gateway.rs
+++ b/crates/transport/src/gateway.rs
@@ -3,19 +3,17 @@
 use super::budget::Budget;
 use super::connecting::{connect, ConnectError};
 use super::connection::Exchange;
-use super::meter::{Milestone, Writing};
-use super::network::{Network, Peek, Unread};
+use super::network::{Network, Peek};
 use super::pool::{Line, Pool};
 use super::traffic::{count, Traffic};
 use super::{length, Task};
 use hyper::header::HeaderValue;
 use hyper::StatusCode;
-use roseproxy_decision::interface::{Load, Outcome, ServerId, Update};
+use roseproxy_decision::interface::{Outcome, ServerId, Update};
+use roseproxy_platform::load;
 use roseproxy_platform::request::{Classes, Outgoing, Passing};
-use roseproxy_platform::{load, outcome};
 use roseproxy_routing::event_log::{shortened, Activity, CloseReason, EventKind, Sink};
-use roseproxy_routing::flow::{Answer, FlowId, ForwardEnd, ForwardId, NewFlow, Order, ProbeEnd, Target};
-use roseproxy_routing::guard::WritePermit;
+use roseproxy_routing::flow::{Answer, FlowId, ForwardId, NewFlow, Order, ProbeEnd, Target};
 use roseproxy_routing::invariants::Violation;
 use roseproxy_routing::start_times::{Clocks, Source, StartTimes};
 use roseproxy_routing::time::{to_millis, Now};
@@ -29,14 +27,10 @@
 /// How often idle connections are looked through (ms).
 const SWEEP: f64 = 250.0;
 
-/// Share of a forward's time that connecting may take, and the least that it gets (ms).
-const CONNECT_SHARE: f64 = 0.25;
-const CONNECT_LEAST: f64 = 50.0;
-
-struct Waiting {
-    passing: Rc<Passing>,
+pub(super) struct Waiting {
+    pub(super) passing: Rc<Passing>,
     /// Looks at the client's connection.
-    client: Peek,
+    pub(super) client: Peek,
     answer: oneshot::Sender<Answer>,
     /// Tells its forwards that nobody waits any more.
     ended: Rc<Notify>,
@@ -45,7 +39,7 @@
 /// Carries out routing's orders on sockets and reports back.
 pub struct Gateway<N> {
     network: N,
-    host: RefCell<Host>,
+    pub(super) host: RefCell<Host>,
     now: Now,
     /// How requests name their classes.
     pub classes: Classes,
@@ -54,10 +48,10 @@
     pool: RefCell<Pool>,
     targets: Budget,
     connect_timeout: f64,
-    waiting: RefCell<HashMap<FlowId, Waiting>>,
+    pub(super) waiting: RefCell<HashMap<FlowId, Waiting>>,
     /// The clients' ids of the flows that wait.
     ids: RefCell<HashSet<HeaderValue>>,
-    forwards: RefCell<HashMap<ForwardId, Task>>,
+    pub(super) forwards: RefCell<HashMap<ForwardId, Task>>,
     probes: RefCell<HashMap<ServerId, Task>>,
     /// When the timer task will wake, and how to wake it sooner.
     armed: Cell<f64>,
@@ -305,7 +299,7 @@
     }
 
     /// Does something with the host; how long it held up the program's one thread is recorded.
-    fn timed<T>(&self, activity: Activity, act: impl FnOnce(&mut Host, f64) -> T) -> T {
+    pub(super) fn timed<T>(&self, activity: Activity, act: impl FnOnce(&mut Host, f64) -> T) -> T {
         let began = self.now();
         let done = act(&mut self.host.borrow_mut(), began);
         self.note_held_up(activity, began);
@@ -327,7 +321,7 @@
     }
 
     /// Carries out what routing has ordered, in order.
-    fn settle(self: &Rc<Self>) {
+    pub(super) fn settle(self: &Rc<Self>) {
         loop {
             let order = self.host.borrow_mut().next_order();
             match order {
@@ -368,90 +362,6 @@
         }
     }
 
-    async fn forward(
-        self: Rc<Self>,
-        id: ForwardId,
-        target: ServerId,
-        address: SocketAddr,
-        until: f64,
-        wait: (Rc<Passing>, Rc<Notify>),
-    ) {
-        // A target that does not come up must leave time for another.
-        let within = ((until - self.now()) * CONNECT_SHARE).max(CONNECT_LEAST);
-        let (end, load) = match self.line(target, address, within).await {
-            Ok(line) => self.exchange(id, target, until, &wait, line).await,
-            Err(outcome) => (ForwardEnd::Lost(outcome), None),
-        };
-        self.timed(Activity::AttemptEnd, |host, now| host.forward_ended(now, id, end, load));
-        self.settle();
-        // Last, as it ends this very task.
-        self.forwards.borrow_mut().remove(&id);
-    }
-
-    async fn exchange(
-        self: &Rc<Self>,
-        id: ForwardId,
-        target: ServerId,
-        until: f64,
-        (passing, ended): &(Rc<Passing>, Rc<Notify>),
-        mut line: Line,
-    ) -> (ForwardEnd, Option<Load>) {
-        let now = self.now();
-        let permit = self.host.borrow_mut().begin_write(now, id);
-        let Some(permit) = permit else {
-            self.keep(target, line);
-            return (ForwardEnd::Lost(Outcome::NotSent), None);
-        };
-        // Neither behind its time nor once nobody waits for it may a request be written on.
-        let too_late = async {
-            tokio::select! {
-                biased;
-                () = ended.notified() => {}
-                () = at(permit.whole_by - now) => {}
-            }
-        };
-        let told = until - now;
-        let writing = Rc::new(AttemptWriting::new(self, id, permit, told));
-        match line.connection.exchange_unless(passing.to_target(told), too_late, writing.clone()).await {
-            Exchange::Answered(status, headers, body) => {
-                self.keep(target, line);
-                (outcome::of_answer(status, &headers, body), load::of_headers(&headers))
-            }
-            // Broken off by this side: that tells nothing of the target.
-            Exchange::Broke { last_byte_written: false }
-                if writing.withheld.get() || !self.waiting.borrow().contains_key(&id.flow) =>
-            {
-                (ForwardEnd::Lost(Outcome::NotSent), None)
-            }
-            Exchange::Broke { last_byte_written } => (outcome::of_break(last_byte_written), None),
-        }
-    }
-
-    /// Whether the client of a flow is still there, as its connection says: its departure may not have been heard of yet.
-    fn client_is_there(&self, id: FlowId) -> bool {
-        let client = self.waiting.borrow().get(&id).map(|waiting| waiting.client.clone());
-        client.is_some_and(|client| client() != Unread::End)
-    }
-
-    /// Whether an attempt may be written on at this instant; one whose client has left ends here.
-    fn may_write_on(self: &Rc<Self>, id: ForwardId, permit: WritePermit) -> bool {
-        let present = self.client_is_there(id.flow);
-        let allowed = self.host.borrow_mut().may_write_on(self.now(), id, permit, present);
-        if !present {
-            self.client_gone(id.flow);
-        }
-        allowed
-    }
-
-    /// Has the invariants checked at the instant at which an attempt goes out.
-    fn attempt_passed(&self, id: ForwardId, milestone: Milestone, told: f64) {
-        let (now, mut host) = (self.now(), self.host.borrow_mut());
-        match milestone {
-            Milestone::Began => host.attempt_began(now, id),
-            Milestone::Whole => host.attempt_whole(now, id, told),
-        }
-    }
-
     async fn probe(self: Rc<Self>, target: ServerId, address: SocketAddr) {
         let end = match self.line(target, address, self.connect_timeout).await {
             Err(outcome) => ProbeEnd { outcome, load: None },
@@ -481,7 +391,12 @@
 
     /// A connection to a target: a kept one, or a new one where the budget has room. Without one it says
     /// what that tells: an own shortage of descriptors tells nothing of the target.
-    async fn line(&self, target: ServerId, address: SocketAddr, within: f64) -> Result<Line, Outcome> {
+    pub(super) async fn line(
+        &self,
+        target: ServerId,
+        address: SocketAddr,
+        within: f64,
+    ) -> Result<Line, Outcome> {
         if let Some(line) = self.pool.borrow_mut().take(self.now(), target, address) {
             count(&self.traffic.reused);
             return Ok(line);
@@ -504,7 +419,7 @@
     }
 
     /// Puts a connection back once it is ready for the next request.
-    fn keep(self: &Rc<Self>, target: ServerId, mut line: Line) {
+    pub(super) fn keep(self: &Rc<Self>, target: ServerId, mut line: Line) {
         let gateway = self.clone();
         tokio::task::spawn_local(async move {
             if line.connection.settle().await {
@@ -513,40 +428,3 @@
         });
     }
 }
-
-/// Answers for the writing of an attempt.
-struct AttemptWriting<N> {
-    gateway: Rc<Gateway<N>>,
-    id: ForwardId,
-    permit: WritePermit,
-    /// The time that its head tells the endpoint (ms).
-    told: f64,
-    /// Whether it was broken off by this side.
-    withheld: Cell<bool>,
-}
-
-impl<N: Network> AttemptWriting<N> {
-    fn new(gateway: &Rc<Gateway<N>>, id: ForwardId, permit: WritePermit, told: f64) -> AttemptWriting<N> {
-        AttemptWriting { gateway: gateway.clone(), id, permit, told, withheld: Cell::new(false) }
-    }
-}
-
-impl<N: Network> Writing for AttemptWriting<N> {
-    fn may_go(&self) -> bool {
-        let allowed = !self.withheld.get() && self.gateway.may_write_on(self.id, self.permit);
-        self.withheld.set(!allowed);
-        allowed
-    }
-
-    fn passed(&self, milestone: Milestone) {
-        self.gateway.attempt_passed(self.id, milestone, self.told);
-    }
-}
-
-/// Waits so many milliseconds; for ever where they have no end.
-async fn at(millis: f64) {
-    match millis.is_finite() {
-        true => tokio::time::sleep(length(millis)).await,
-        false => std::future::pending().await,
-    }
-}
--- a/crates/transport/src/lib.rs
+++ b/crates/transport/src/lib.rs
@@ -7,6 +7,7 @@
 #![warn(missing_docs)]
 
 mod accepting;
+mod attempt;
 pub mod budget;
 mod client;
 pub mod connecting;
