--- a/crates/decision/src/affinity.rs
+++ b/crates/decision/src/affinity.rs
@@ -23,9 +23,11 @@
         (self.settings.fall_multiple / 2.0).max(1.0)
     }
 
-    /// Takes over the servers that may be homes, once for each table of shares: it is made of the same figures.
+    /// Takes over the servers that may be homes; in a large fleet once for each table of shares, which is made of the same
+    /// figures.
     fn refresh_places(&mut self) {
-        if self.table_at.is_some() && self.places_at == self.table_at {
+        let current = self.table_at.is_some() && self.places_at == self.table_at;
+        if current && self.sight() < 1.0 {
             return;
         }
         self.places_at = self.table_at;
@@ -61,11 +63,11 @@
     }
 
     /// Whether the water-fill would give a home all of its key: even then it is less full than any other server is
-    /// without it. The table of shares has how full those are, so that they need not be looked at again.
+    /// without it. The table of shares has how full those are, so that the many of a large fleet need not be looked at
+    /// again; in a small one that is done.
     pub(crate) fn takes_whole_key(&self, home: usize) -> bool {
         let server = &self.backends[home];
-        let uncapped = self.warmth(home) >= 1.0 || self.sight() < 1.0;
-        if !uncapped || !server.usable() {
+        if self.sight() >= 1.0 || !server.usable() {
             return false;
         }
         let fullness = self.fullness(self.sent_while(self.stay));
--- a/crates/decision/src/policy.rs
+++ b/crates/decision/src/policy.rs
@@ -414,7 +414,7 @@
             set.extend(0..self.backends.len());
         }
         let (mut pick, mut share) = if let Some(home) = alone {
-            (Some(home), if self.sight() < 1.0 { 0.0 } else { 1.0 })
+            (Some(home), 0.0)
         } else if first && set.is_empty() {
             let slot = find(self.table.iter().copied(), draw);
             (slot, slot.map_or(0.0, |slot| self.table[slot]))
