--- a/crates/fleet/src/homes.rs
+++ b/crates/fleet/src/homes.rs
@@ -89,13 +89,28 @@
 struct Filled {
     homes: Vec<(Place, f64)>,
     left: f64,
-    /// When the homes were found (microseconds), among places of this generation.
-    ranked_at: i64,
+    found: Found,
+}
+
+/// How a key's homes were found.
+#[derive(Clone, Copy, Debug)]
+struct Found {
+    /// When (microseconds).
+    at: i64,
+    /// Among places of this generation.
     generation: u64,
     /// How many there were to be.
     count: usize,
 }
 
+impl Found {
+    /// Whether they need not be found anew: they are recent, or nothing they rest on has changed much.
+    fn holds(&self, now: Found) -> bool {
+        let as_many = self.count.abs_diff(now.count) * ABOUT <= now.count;
+        now.at - self.at <= SETTLED || (self.generation == now.generation && as_many)
+    }
+}
+
 impl Homes {
     /// Counts a request for a key.
     pub fn saw(&mut self, key: u64) {
@@ -178,7 +193,8 @@
             }
         }
         // Not counted, or all its homes have left since.
-        let homes = self.ranked(key, fleet);
+        let count = self.home_count(key, fleet);
+        let homes = self.ranked(key, count, fleet);
         // Each server is a home of that many keys like this one, compared with its share of the keys.
         let spread = fleet.places.len() as f64 / homes.len().max(1) as f64;
         let capacity = homes.iter().map(|p| p.capacity).sum::<f64>().max(1e-9);
@@ -190,14 +206,14 @@
         (parts, if some_warm { 0.0 } else { over.max(0.0) })
     }
 
+    /// Homes that the key should have by its share.
     fn home_count(&self, key: u64, fleet: Fleet) -> usize {
         home_count(self.share(key), fleet.places.len(), fleet.sight)
     }
 
-    /// The servers that the key suits best, as many as its homes.
-    fn ranked(&mut self, key: u64, fleet: Fleet) -> Vec<Place> {
+    /// So many servers that the key suits best.
+    fn ranked(&mut self, key: u64, count: usize, fleet: Fleet) -> Vec<Place> {
         self.scored += fleet.places.len() as u64;
-        let count = self.home_count(key, fleet);
         let mut ranked: Vec<(f64, Place)> =
             fleet.places.iter().map(|p| (suits(key, p.id, p.weight), *p)).collect();
         if count < ranked.len() {
@@ -211,17 +227,15 @@
     /// room. All sidecars do this by what they see; where they differ, they still draw from the same homes.
     fn fill(&mut self, key: u64, fleet: Fleet, now: i64) {
         let count = self.home_count(key, fleet);
-        let as_many = |known: &Filled| known.count.abs_diff(count) * ABOUT <= count;
-        let same = |known: &Filled| known.generation == fleet.generation && as_many(known);
-        let known = self.take_back(key).filter(|known| same(known) || now - known.ranked_at <= SETTLED);
+        let anew = Found { at: now, generation: fleet.generation, count };
+        let known = self.take_back(key).filter(|known| known.found.holds(anew));
+        let (found, ranked) = match known {
+            Some(known) => (known.found, current(known.homes, fleet)),
+            None => (anew, self.ranked(key, count, fleet)),
+        };
         let (requests, all) = (self.requests(key), self.all_requests());
         let capacity = fleet.places.iter().map(|p| p.capacity).sum::<f64>();
         let most = fleet.bound * all / capacity.max(1e-9);
-        let found = known.map(|known| (known.ranked_at, known.generation, known.count, known.homes));
-        let (ranked_at, generation, count, ranked) = match found {
-            Some((at, generation, count, homes)) => (at, generation, count, current(homes, fleet)),
-            None => (now, fleet.generation, count, self.ranked(key, fleet)),
-        };
         let load = |p: &Place| self.loads.get(&p.id).copied().unwrap_or(0.0);
         let loaded: Vec<Loaded> =
             ranked.into_iter().map(|p| Loaded::new(p, load(&p), p.most * all)).collect();
@@ -232,7 +246,7 @@
         let over = requests - homes.iter().map(|(_, part)| part).sum::<f64>();
         // Rounding must leave nobody without a home who has one.
         let left = if over < NOTHING * all { 0.0 } else { over };
-        self.filled.insert(key, Filled { homes, left, ranked_at, generation, count });
+        self.filled.insert(key, Filled { homes, left, found });
     }
 
     /// Takes a key's requests out of its homes.
