Log what a sidecar asks of discovery and hears from it, and count how calls end

Need: the sidecars' own logs of the incident say nothing between 'listens' and the end, so that neither the revision in hand nor the time of a first call could be read from them. Change: kept_list, call_started, watch_opened, list_taken and call_ended with revision, size, age and reason are recorded, and printed by default (100 notable lines in ten minutes, where there were 100 warnings in the life of a process); discovery_calls and discovery_call_ended_* count them. The watch on discovery is split into functions with typed ends.

--- a/crates/lab/tests/discovery_return.rs
+++ b/crates/lab/tests/discovery_return.rs
@@ -4,6 +4,7 @@
 use roseproxy::config::Config;
 use roseproxy_decision::interface::{Readiness, ServerId, Settings, Update};
 use roseproxy_platform::request::Classes;
+use roseproxy_routing::discovery::CallEnd;
 use roseproxy_routing::flow::{Order, Target};
 use roseproxy_routing::Host;
 use roseproxy_transport::budget::Budget;
@@ -185,7 +186,8 @@
             }
             match event {
                 Event::Timer => self.hosts[number].tick(now * 1e3),
-                Event::WatchEnds | Event::CallFailed => self.hosts[number].targets_failed(now * 1e3),
+                Event::WatchEnds => self.hosts[number].targets_failed(now * 1e3, CallEnd::WatchEnded),
+                Event::CallFailed => self.hosts[number].targets_failed(now * 1e3, CallEnd::TurnedAway),
                 Event::Answered => {
                     self.list(now, number, Update::Changes);
                     if now > OUTAGE {
--- a/crates/routing/src/book.rs
+++ b/crates/routing/src/book.rs
@@ -1,5 +1,6 @@
 //! Stage 6: what is counted of all that.
 
+use super::discovery::{CallEnd, CALL_ENDS};
 use super::event_log::{Activity, AttemptReason, RefusalReason, ACTIVITIES, ATTEMPTS, REFUSALS};
 use super::flow::Answer;
 use super::guard::{Withheld, WITHHELD};
@@ -50,6 +51,10 @@
     pub lists: u64,
     /// Failures of discovery told to the module.
     pub list_failures: u64,
+    /// Calls to discovery that were made.
+    pub calls: u64,
+    /// Ends of calls and watches by reason, in the order of [`CALL_ENDS`].
+    pub call_ends: [u64; CALL_ENDS.len()],
 }
 
 /// The outcomes with the names that they are counted under.
@@ -102,6 +107,10 @@
         self.timers_late = (count + 1, longest.max(millis as u64));
     }
 
+    pub(super) fn call_ended(&mut self, end: CallEnd) {
+        add(&mut self.call_ends, &CALL_ENDS, end);
+    }
+
     pub(super) fn violated(&mut self, violation: Violation) {
         add(&mut self.violations, &VIOLATIONS, violation);
     }
@@ -121,6 +130,7 @@
             ("probes_lost", self.probes_lost),
             ("discovery_lists", self.lists),
             ("discovery_failures", self.list_failures),
+            ("discovery_calls", self.calls),
             ("timers_late", self.timers_late.0),
             ("timers_late_longest_ms", self.timers_late.1),
         ];
@@ -132,6 +142,7 @@
             .chain(named("held_up_longest_ms", &ACTIVITIES, &self.longest_held_up))
             .chain(named("attempts_withheld", &WITHHELD, &self.withheld))
             .chain(named("refused", &REFUSALS, &self.refusals))
+            .chain(named("discovery_call_ended", &CALL_ENDS, &self.call_ends))
             .chain(named("violations", &VIOLATIONS, &self.violations))
             .collect()
     }
--- a/crates/routing/src/event_log.rs
+++ b/crates/routing/src/event_log.rs
@@ -2,6 +2,7 @@
 //!
 //! The latest events are kept in memory and printed on request; where a sink is set, each is also printed as it happens.
 
+use super::discovery::DiscoveryEvent;
 use super::flow::FlowId;
 use super::guard::Withheld;
 use super::invariants::Violation;
@@ -13,8 +14,9 @@
 
 /// How many events are kept.
 const KEPT: usize = 512;
-/// How many warnings are printed: the first ones tell what is wrong, the counters how often.
-const MOST_WARNINGS: u32 = 100;
+/// How many notable events are printed in a span (ms): the first ones tell what is wrong, the counters how often.
+const MOST_PRINTED: u32 = 100;
+const PRINTING_SPAN: f64 = 600_000.0;
 /// How much of a client's id is kept (bytes).
 const ID_KEPT: usize = 40;
 
@@ -204,10 +206,8 @@
         /// To what.
         readiness: Readiness,
     },
-    /// The watch on discovery or a call to it failed.
-    WatchFailed,
-    /// The watch on discovery fell silent and is opened anew.
-    WatchSilent,
+    /// Something happened between this sidecar and discovery.
+    Discovery(DiscoveryEvent),
     /// Discovery sent what is no list.
     BadList(Box<str>),
     /// The one thread of the program did nothing else for so long (ms).
@@ -227,9 +227,9 @@
 }
 
 impl EventKind {
-    /// Whether an operator should hear of it, whatever else is printed.
-    fn warns(&self) -> bool {
-        matches!(self, EventKind::BadList(_) | EventKind::Violated(_))
+    /// Whether an operator should hear of it, whatever else is printed: faults, and what the sidecar knows of its endpoints.
+    fn notable(&self) -> bool {
+        matches!(self, EventKind::BadList(_) | EventKind::Violated(_) | EventKind::Discovery(_))
     }
 }
 
@@ -271,8 +271,7 @@
             EventKind::Endpoint { endpoint, readiness } => {
                 write!(f, " endpoint={:016x} state={readiness:?}", endpoint.0)
             }
-            EventKind::WatchFailed => write!(f, " watch_failed"),
-            EventKind::WatchSilent => write!(f, " watch_silent"),
+            EventKind::Discovery(event) => write!(f, " discovery {event}"),
             EventKind::BadList(reason) => write!(f, " discovery sent what is no list: {reason}"),
             EventKind::HeldUp { activity, millis } => {
                 write!(f, " held_up activity={} for={millis:.1}", name_of(&ACTIVITIES, *activity))
@@ -291,23 +290,24 @@
 pub struct EventLog {
     latest: VecDeque<Record>,
     sink: Option<Sink>,
-    /// Whether each event is printed, and not only warnings.
+    /// Whether each event is printed, and not only notable ones.
     every: bool,
-    warnings: u32,
+    /// When the present span began, and how many notable events it has printed.
+    span_began: f64,
+    printed: u32,
 }
 
 impl EventLog {
-    /// Has warnings printed as they happen, or each event.
+    /// Has notable events printed as they happen, or each event.
     pub fn log_to(&mut self, sink: Sink, every: bool) {
         (self.sink, self.every) = (Some(sink), every);
     }
 
     /// Records an event.
     pub fn record(&mut self, at: f64, request: Option<FlowId>, kind: EventKind) {
-        let warns = kind.warns() && self.warnings < MOST_WARNINGS;
-        self.warnings += u32::from(warns);
+        let prints = kind.notable() && self.may_print(at);
         let record = Record { at, request, kind };
-        if let Some(sink) = self.sink.as_ref().filter(|_| warns || self.every) {
+        if let Some(sink) = self.sink.as_ref().filter(|_| prints || self.every) {
             sink(&format!("event {record}"));
         }
         if self.latest.len() == KEPT {
@@ -316,6 +316,15 @@
         self.latest.push_back(record);
     }
 
+    /// Whether one more notable event may be printed in this span.
+    fn may_print(&mut self, at: f64) -> bool {
+        if at - self.span_began >= PRINTING_SPAN {
+            (self.span_began, self.printed) = (at, 0);
+        }
+        self.printed = self.printed.saturating_add(1);
+        self.printed <= MOST_PRINTED
+    }
+
     /// The latest events, one a line, the oldest first.
     pub fn text(&self) -> String {
         self.latest.iter().map(|record| format!("{record}\n")).collect()
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod admit;
 pub mod book;
 pub mod decide;
+pub mod discovery;
 pub mod event_log;
 pub mod flow;
 pub mod guard;
@@ -192,6 +193,11 @@
         open
     }
 
+    /// Endpoints that the list in hand names.
+    pub fn endpoints(&self) -> usize {
+        self.members.len()
+    }
+
     /// Whether a request would find a target in service.
     pub fn can_serve(&self) -> bool {
         self.members.values().any(|m| m.target.readiness == Readiness::Ready)
--- a/crates/routing/src/take_in.rs
+++ b/crates/routing/src/take_in.rs
@@ -1,7 +1,6 @@
 //! Stage 1: a request becomes a flow, and the list becomes the target group.
 
 use super::flow::{FlowId, NewFlow, Target};
-use super::timers::Due;
 use super::{time, EventKind, Flow, Host, Member, SPARE};
 use roseproxy_decision::interface::{Event, Readiness, Request, Server, Update};
 
@@ -84,24 +83,6 @@
         }
     }
 
-    /// A call to discovery failed or the watch broke; the list in hand stays.
-    pub fn targets_failed(&mut self, now: f64) {
-        self.book.list_failures += 1;
-        self.events.record(now, None, EventKind::WatchFailed);
-        if !self.settings.must_subscribe {
-            // The module asks for no list where they are pushed.
-            let pause = time::to_millis(self.pushed_calls.failed());
-            self.timers.set(now + pause, Due::Watch);
-        }
-        self.tell(now, Event::Servers { update: Update::Failed, servers: &[] });
-    }
-
-    /// The watch fell silent and is opened anew without a pause; the list in hand stays.
-    pub fn watch_reopened(&mut self, now: f64) {
-        self.events.record(now, None, EventKind::WatchSilent);
-        self.tell(now, Event::Servers { update: Update::Reopened, servers: &[] });
-    }
-
     /// Drops members that are gone and idle, or the map would grow with every machine ever seen.
     fn forget_gone(&mut self) {
         let busy: std::collections::HashSet<_> = self.forwards.values().map(|f| f.target).collect();
--- a/crates/routing/tests/routing.rs
+++ b/crates/routing/tests/routing.rs
@@ -5,6 +5,7 @@
 use roseproxy_decision::interface::{
     Class, Effect, Network, Outcome, Prices, Readiness, ServerId, Settings, Update,
 };
+use roseproxy_routing::discovery::CallEnd;
 use roseproxy_routing::flow::{Answer, FlowId, ForwardEnd, ForwardId, NewFlow, Order, ProbeEnd, Target};
 use roseproxy_routing::Host;
 use std::collections::HashMap;
@@ -161,7 +162,7 @@
     let mut rig = Rig::new();
     rig.host.targets(rig.now(), Update::Changes, &[target(0, Readiness::Gone), target(1, Readiness::Gone)]);
     assert!(rig.host.can_serve(), "the third was not named and stays");
-    rig.host.targets_failed(rig.now());
+    rig.host.targets_failed(rig.now(), CallEnd::Unreachable);
     assert!(rig.host.can_serve(), "a failure changes nothing");
     rig.host.targets(rig.now(), Update::Complete, &[]);
     assert!(!rig.host.can_serve());
@@ -256,7 +257,7 @@
                 rig.orders();
             }
             Step::Fail => {
-                rig.host.targets_failed(rig.now());
+                rig.host.targets_failed(rig.now(), CallEnd::Unreachable);
                 rig.orders();
             }
             Step::End(..) | Step::Leave(_) => {}
--- a/crates/transport/src/discovery.rs
+++ b/crates/transport/src/discovery.rs
@@ -1,15 +1,19 @@
 //! The watch on discovery.
 
 use super::connecting::connect;
+use super::connection::Connection;
 use super::gateway::Gateway;
 use super::length;
 use super::network::Network;
 use super::traffic::count;
 use crate::connection::Exchange;
 use http_body_util::BodyExt;
+use hyper::body::Incoming;
 use hyper::StatusCode;
+use roseproxy_decision::interface::Update;
 use roseproxy_platform::discovery::{self, Listing, WatchDecoder, WatchFrame};
 use roseproxy_platform::request::Outgoing;
+use roseproxy_routing::discovery::{CallEnd, DiscoveryEvent};
 use roseproxy_routing::event_log::{Activity, EventKind};
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -35,9 +39,6 @@
     last: u64,
 }
 
-/// A watch that was open has fallen silent.
-struct Silent;
-
 impl<N: Network> Watcher<N> {
     /// A watcher of discovery at this address, for a sidecar that has the list of this version in hand.
     pub fn new(
@@ -54,6 +55,8 @@
     /// module sets with jitter and ever longer, say when to try again. A new address is no failure
     /// and is asked at once. Runs as long as the program.
     pub async fn run(mut self) {
+        let (revision, endpoints) = (self.last, self.gateway.endpoints());
+        self.gateway.discovery_event(DiscoveryEvent::KeptList { revision, endpoints });
         loop {
             let mut moves = self.address.clone();
             tokio::select! {
@@ -61,62 +64,104 @@
                 () = self.gateway.watch_wanted() => {}
                 () = moved(&mut moves) => self.revision = None,
             }
-            loop {
-                let address = *self.address.borrow_and_update();
-                let mut moves = self.address.clone();
-                tokio::select! {
-                    biased;
-                    // It only ever ends by failing. One that was open and fell silent is broken, and what it misses
-                    // counts as told 6 s after that: it is opened anew at once. The beats of sidecars differ, which
-                    // spreads their calls; one that finds no answer is a failure like others, with their pauses.
-                    end = self.watch(address) => match end {
-                        Some(Silent) => {
-                            self.gateway.forget_watch_wish();
-                            self.gateway.watch_reopened();
-                        }
-                        None => break,
-                    },
-                    // Another discovery may count its versions otherwise: the whole list is asked for.
-                    () = moved(&mut moves) => self.revision = None,
-                }
-            }
+            let end = self.watch_until_failure().await;
             // A wish from before this failure was met by the watch that has just ended: what it left behind would
             // start the next one at once, beside the pauses that keep all sidecars from calling together.
             self.gateway.forget_watch_wish();
-            self.gateway.targets_failed();
+            self.gateway.targets_failed(end);
         }
     }
 
-    /// Follows the list until that fails.
-    async fn watch(&mut self, address: SocketAddr) -> Option<Silent> {
-        let host = address.to_string();
-        let mut connection = connect(self.gateway.network(), address, CONNECT).await.ok()?;
-        if self.revision.is_none() {
-            let fetch = connection.exchange_up_to(Outgoing::get(discovery::LIST, &host), LONGEST_LIST);
-            match tokio::time::timeout(length(ANSWER), fetch).await.ok()? {
-                Exchange::Answered(StatusCode::OK, _, body) => self.take(&body),
-                _ => return None,
+    /// Watches, and opens the watch anew where it fell silent or discovery was moved, until a call fails.
+    async fn watch_until_failure(&mut self) -> CallEnd {
+        loop {
+            let address = *self.address.borrow_and_update();
+            let mut moves = self.address.clone();
+            let began = self.gateway.now();
+            tokio::select! {
+                biased;
+                // It only ever ends by failing. One that was open and fell silent is broken, and what it misses
+                // counts as told 6 s after that: it is opened anew at once. The beats of sidecars differ, which
+                // spreads their calls; one that finds no answer is a failure like others, with their pauses.
+                end = self.watch(address, began) => {
+                    let after = self.gateway.now() - began;
+                    self.gateway.discovery_event(DiscoveryEvent::CallEnded(end, after));
+                    if end != CallEnd::WatchSilent {
+                        return end;
+                    }
+                    self.gateway.forget_watch_wish();
+                    self.gateway.watch_reopened();
+                }
+                // Another discovery may count its versions otherwise: the whole list is asked for.
+                () = moved(&mut moves) => {
+                    let after = self.gateway.now() - began;
+                    self.gateway.discovery_event(DiscoveryEvent::CallEnded(CallEnd::Moved, after));
+                    self.gateway.discovery_moved();
+                    self.revision = None;
+                }
             }
         }
-        let path = discovery::watch_path(self.revision?);
-        let answer = connection.send(Outgoing::get(&path, &host));
-        let answer = tokio::time::timeout(length(ANSWER), answer).await.ok()?.ok()?;
+    }
+
+    /// Follows the list until that fails; the call began at this time.
+    async fn watch(&mut self, address: SocketAddr, began: f64) -> CallEnd {
+        match self.open_watch(address, began).await {
+            Ok((_connection, body)) => self.follow(body).await,
+            Err(end) => end,
+        }
+    }
+
+    /// Calls discovery, and returns the answer that tells of changes with its connection.
+    async fn open_watch(
+        &mut self,
+        address: SocketAddr,
+        began: f64,
+    ) -> Result<(Connection, Incoming), CallEnd> {
+        let host = address.to_string();
+        self.gateway.call_started(self.revision);
+        let connection = connect(self.gateway.network(), address, CONNECT).await;
+        let mut connection = connection.map_err(|_| CallEnd::Unreachable)?;
+        let known = match self.revision {
+            Some(revision) => revision,
+            None => self.fetch_list(&mut connection, &host).await?,
+        };
+        let answer = connection.send(Outgoing::get(&discovery::watch_path(known), &host));
+        let answer = tokio::time::timeout(length(ANSWER), answer).await;
+        let answer = answer.map_err(|_| CallEnd::NoAnswer)?.map_err(|_| CallEnd::Broken)?;
         if answer.status() != StatusCode::OK {
             if answer.status().is_client_error() {
                 // It knows nothing of that version: begin anew from the whole list.
                 self.revision = None;
             }
-            return None;
+            return Err(CallEnd::TurnedAway);
         }
-        let (mut body, mut decoder) = (answer.into_body(), WatchDecoder::default());
+        self.gateway.discovery_event(DiscoveryEvent::WatchOpened(self.gateway.now() - began));
+        Ok((connection, answer.into_body()))
+    }
+
+    /// Asks for the whole list, and returns its revision.
+    async fn fetch_list(&mut self, connection: &mut Connection, host: &str) -> Result<u64, CallEnd> {
+        let fetch = connection.exchange_up_to(Outgoing::get(discovery::LIST, host), LONGEST_LIST);
+        let answer = tokio::time::timeout(length(ANSWER), fetch).await;
+        match answer.map_err(|_| CallEnd::NoAnswer)? {
+            Exchange::Answered(StatusCode::OK, _, body) => self.take(&body),
+            Exchange::Answered(..) => return Err(CallEnd::TurnedAway),
+            Exchange::Broke { .. } => return Err(CallEnd::Broken),
+        }
+        self.revision.ok_or(CallEnd::Unreadable)
+    }
+
+    /// Takes over what an open watch tells, until it ends.
+    async fn follow(&mut self, mut body: Incoming) -> CallEnd {
+        let mut decoder = WatchDecoder::default();
         // Half a line, or an object whose end does not come, is no sign of life.
         let mut alive = self.gateway.now();
         loop {
             let left = alive + SILENCE - self.gateway.now();
             let Ok(frame) = tokio::time::timeout(length(left), body.frame()).await else {
-                return Some(Silent);
+                return CallEnd::WatchSilent;
             };
-            let frame = frame?.ok()?;
+            let Some(Ok(frame)) = frame else { return CallEnd::WatchEnded };
             let Ok(data) = frame.into_data() else { continue };
             decoder.take(&data, |frame| {
                 match frame {
@@ -128,7 +173,7 @@
             });
             if decoder.held() > LONGEST_LIST {
                 count(&self.gateway.traffic.bad_lists);
-                return None;
+                return CallEnd::Unreadable;
             }
         }
     }
@@ -146,6 +191,9 @@
                 // discovery that counts anew, so that it is taken for all the rest.
                 let behind = revision < self.last;
                 (self.revision, self.last) = (Some(revision), revision);
+                let (complete, entries) = (update == Update::Complete, targets.len());
+                let taken = DiscoveryEvent::ListTaken { revision, complete, entries, unread, behind };
+                self.gateway.discovery_event(taken);
                 self.gateway.set_revision(revision);
                 self.gateway.listed(update, targets, behind);
             }
--- a/crates/transport/src/gateway.rs
+++ b/crates/transport/src/gateway.rs
@@ -12,6 +12,7 @@
 use roseproxy_decision::interface::{Outcome, ServerId, Update};
 use roseproxy_platform::load;
 use roseproxy_platform::request::{Classes, Outgoing, Passing};
+use roseproxy_routing::discovery::{CallEnd, DiscoveryEvent};
 use roseproxy_routing::event_log::{shortened, Activity, CloseReason, EventKind, Sink};
 use roseproxy_routing::flow::{Answer, FlowId, ForwardId, NewFlow, Order, ProbeEnd, Target};
 use roseproxy_routing::invariants::Violation;
@@ -179,12 +180,28 @@
         self.revision.set(revision);
     }
 
-    /// Discovery failed.
-    pub fn targets_failed(self: &Rc<Self>) {
-        self.host.borrow_mut().targets_failed(self.now());
+    /// A call to discovery failed, or the watch broke.
+    pub fn targets_failed(self: &Rc<Self>, end: CallEnd) {
+        self.host.borrow_mut().targets_failed(self.now(), end);
         self.settle();
     }
 
+    /// Records what happened between this sidecar and discovery.
+    pub(super) fn discovery_event(&self, event: DiscoveryEvent) {
+        self.host.borrow_mut().discovery_event(self.now(), event);
+    }
+
+    /// A call to discovery goes out.
+    pub(super) fn call_started(&self, revision: Option<u64>) {
+        self.host.borrow_mut().book.calls += 1;
+        self.discovery_event(DiscoveryEvent::CallStarted(revision));
+    }
+
+    /// Discovery was moved while a call or a watch was open.
+    pub(super) fn discovery_moved(&self) {
+        self.host.borrow_mut().discovery_moved();
+    }
+
     /// The watch fell silent and is opened anew.
     pub(super) fn watch_reopened(self: &Rc<Self>) {
         self.host.borrow_mut().watch_reopened(self.now());
@@ -251,6 +268,11 @@
         open
     }
 
+    /// Endpoints that the list in hand names.
+    pub(super) fn endpoints(&self) -> usize {
+        self.host.borrow().endpoints()
+    }
+
     /// Flows without an answer.
     pub fn open_flows(&self) -> usize {
         self.host.borrow().open_flows()
