Lease of the list in hand: no sends by a list that discovery has not confirmed in time

Cause: nothing bounded how long a list may be used without a word from discovery. A change counts as told after 6 s. Ruled out: telling absence from overload by anything that a caller sees; both end with a 503 after the queue's time-out. Change: fleet::list_lease owns how long a list holds: the grace after a start, the term and the grace after discovery's last word, for as long as discovery is away, 4 s and the grace after a move. First calls are spread by 20 ms a sidecar and 4.5 s at most (50 ms and 9 s before); the period of 4.5 s holds for a minute of calls that wait (one call before).

--- a/crates/fleet/src/calls.rs
+++ b/crates/fleet/src/calls.rs
@@ -15,15 +15,18 @@
 /// A call that failed only after this long (microseconds) had come through and waited in discovery's queue.
 /// A connection that does not come up is given up after 1 s; discovery's own queue gives up after 2 s.
 const QUEUED: i64 = 1_500_000;
-/// Calls in a row that may fail by overload before the pauses grow: one may as well have met an outage.
-const TOLERATED_OVERLOADS: u32 = 1;
-/// Time (microseconds) by which each sidecar widens the window of its next call, for first calls and at most.
+/// Calls in a row that may fail by overload before the pauses grow. A discovery that is away may let calls wait before it
+/// turns them away, and looks like a crowded one then: pauses past the period would outlast the term at its return.
+const TOLERATED_OVERLOADS: u32 = 14;
+/// Time (microseconds) by which each sidecar widens the window of a small fleet's next call: at first, and at most.
 const SPREAD: (f64, f64) = (50e3, 350e3);
+/// The same for the first call after a start: the list in hand is old, and no request is served on it before that call.
+const FIRST_SPREAD: f64 = 20e3;
 /// Window of the next call in a fleet whose size does not widen it, as a share of the time in which an
 /// instance must ask; it doubles twice with failures.
 const LEAST_WINDOW: f64 = 0.1;
 /// Longest wait for a call, as a share of that time: for the first call or after a watch that ended, and
-/// after a call that failed, for which four times as long is allowed.
+/// after a call that failed.
 const LONGEST_WAIT: (f64, f64) = (0.9, 3.5);
 /// First and longest pause (microseconds) where lists are pushed: what discovery's agent has counts as told
 /// at once then, and the agent serves one machine.
@@ -139,9 +142,11 @@
         };
     }
 
-    /// Sidecars are restarted together, so the first call is spread by the fleet's size.
+    /// Sidecars are restarted together, so the first call is spread by the fleet's size, and by a period at most: what
+    /// changed while the process was down counts as told by the same clock.
     fn plan_first_call(&mut self, rng: &mut impl RngCore) -> i64 {
-        let wait = self.window() * uniform(rng);
+        let spread = self.sidecars as f64 * FIRST_SPREAD;
+        let wait = spread.min(PERIOD).min(self.ask_within * LONGEST_WAIT.0) * uniform(rng);
         self.failures = 1;
         self.state = State::Waiting;
         wait as i64
@@ -183,8 +188,8 @@
         crate::sight(self.sidecars) >= 1.0
     }
 
-    /// The window that a small fleet's next call and any first call is drawn from. It widens with failures
-    /// and with the fleet, and stays within what an instance that must ask is allowed.
+    /// The window that a small fleet's next call is drawn from. It widens with failures, and stays within what an instance
+    /// that must ask is allowed.
     fn window(&self) -> f64 {
         let least = self.ask_within * LEAST_WINDOW * f64::from(1 << self.failures.min(2));
         let each = (SPREAD.0 * f64::from(1 << self.failures.min(8))).min(SPREAD.1);
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod calls;
 pub mod draw;
 pub mod homes;
+pub mod list_lease;
 pub mod slow_start;
 pub mod tenants;
 pub mod usual;
--- /dev/null
+++ b/crates/fleet/src/list_lease.rs
@@ -0,0 +1,122 @@
+//! The lease of the list of endpoints: how long it may be acted on without a word from discovery.
+//!
+//! [`ListLease`] is a state machine without I/O or a clock of its own. Whoever follows discovery tells it what was heard and
+//! what failed, and asks it before each send. All times are in milliseconds, of one clock.
+
+/// A change counts as told this long after discovery had it and could be reached (ms).
+const TOLD_WITHIN: f64 = 6_000.0;
+/// The same after a move to another discovery (ms).
+const TOLD_AFTER_MOVE: f64 = 4_000.0;
+/// After a start, discovery counts as away this long after it once a call has failed (ms). Before, one such call may as well
+/// have met a crowd, and applications are not served yet.
+const START_PATIENCE: f64 = 5_000.0;
+
+/// How a call to discovery failed, as far as that tells whether it is there.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Failure {
+    /// No connection came up: it is away, or cut off.
+    Unreachable,
+    /// It was reached, and the call was not answered well: it is away behind something that is there, or crowded.
+    Unanswered,
+    /// A watch that was open has ended.
+    WatchEnded,
+}
+
+/// Until when a list may be acted on.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Term {
+    /// Until this time.
+    Until(f64),
+    /// For as long as discovery is away: nobody is told anything meanwhile, and the service must go on.
+    WhileAway,
+}
+
+/// The lease of the list in hand.
+#[derive(Clone, Debug)]
+pub struct ListLease {
+    /// Whether lists are pushed by an agent of the own machine: what that has counts as told at once.
+    pushed: bool,
+    /// How long after word of a drain sends may go on (ms).
+    grace: f64,
+    began: f64,
+    confirmed_at: Option<f64>,
+    term: Term,
+    /// Whether a call has failed since the start, before any was answered.
+    start_failed: bool,
+}
+
+impl ListLease {
+    /// The lease of a list that was kept from before a start. What changed meanwhile may count as told already, so that it
+    /// lasts no longer than the grace.
+    pub fn of_kept_list(began: f64, grace: f64, pushed: bool) -> ListLease {
+        let term = Term::Until(began + grace);
+        ListLease { pushed, grace, began, confirmed_at: None, term, start_failed: false }
+    }
+
+    /// Discovery has told of a change, or that there is none.
+    pub fn confirmed(&mut self, now: f64) {
+        self.confirmed_at = Some(now);
+        self.term = Term::Until(now + TOLD_WITHIN + self.grace);
+    }
+
+    /// A call goes out. While it is out nothing is known of discovery, so that its absence holds no longer than a term.
+    pub fn call_started(&mut self, now: f64) {
+        if self.term == Term::WhileAway {
+            self.term = Term::Until(now + TOLD_WITHIN + self.grace);
+        }
+    }
+
+    /// A call has failed, or a watch has ended.
+    pub fn failed(&mut self, now: f64, failure: Failure) {
+        match failure {
+            Failure::WatchEnded if self.pushed => self.shorten_to(now + self.grace),
+            Failure::WatchEnded => {}
+            Failure::Unreachable => self.term = Term::WhileAway,
+            Failure::Unanswered if self.confirmed_at.is_some() || self.patience_is_over(now) => {
+                self.term = Term::WhileAway;
+            }
+            Failure::Unanswered => self.start_failed = true,
+        }
+    }
+
+    /// Another discovery is to be asked from now on.
+    pub fn moved(&mut self, now: f64) {
+        self.shorten_to(now + TOLD_AFTER_MOVE + self.grace);
+    }
+
+    /// Whether the list must not be acted on any more.
+    pub fn expired(&self, now: f64) -> bool {
+        match self.term {
+            Term::WhileAway => false,
+            Term::Until(end) => now >= end && !(self.start_failed && self.patience_is_over(now)),
+        }
+    }
+
+    /// When it expires unless discovery is heard of before; `None` while discovery is away.
+    pub fn expires_at(&self) -> Option<f64> {
+        match self.term {
+            Term::WhileAway => None,
+            Term::Until(end) => Some(end),
+        }
+    }
+
+    /// Whether the sidecar may say that it is ready: discovery has confirmed the list since the start, or is away.
+    pub fn settled(&self, now: f64) -> bool {
+        let away = self.term == Term::WhileAway || (self.start_failed && self.patience_is_over(now));
+        (self.confirmed_at.is_some() || away) && !self.expired(now)
+    }
+
+    /// Time since discovery has confirmed the list, or since the start where it has not (ms).
+    pub fn age(&self, now: f64) -> f64 {
+        (now - self.confirmed_at.unwrap_or(self.began)).max(0.0)
+    }
+
+    fn patience_is_over(&self, now: f64) -> bool {
+        now >= self.began + START_PATIENCE
+    }
+
+    fn shorten_to(&mut self, end: f64) {
+        let present = self.expires_at().unwrap_or(f64::INFINITY);
+        self.term = Term::Until(present.min(end));
+    }
+}
--- a/crates/roseproxy/src/start.rs
+++ b/crates/roseproxy/src/start.rs
@@ -39,6 +39,7 @@
     read: impl Fn() -> Result<Config, ConfigError>,
 ) -> Result<String, String> {
     let Surroundings { network, clock, say, decider, print_events } = around;
+    let began = clock.now();
     let socket = startup::patiently(&*say, startup::passes, || network.listen(config.listen)).await;
     let socket = socket.map_err(|e| format!("listen: {}: {e}", config.listen))?;
     let kill_after = shutdown::kill_after(&config.settings);
@@ -60,7 +61,7 @@
     let (mut reload, discovery) = Reload::new(config);
     spawn_local(gateway.clone().run_timers());
     spawn_local(gateway.clone().run_sweeps());
-    spawn_local(Watcher::new(gateway.clone(), discovery, version).run());
+    spawn_local(Watcher::new(gateway.clone(), discovery, version).of_process_since(began).run());
     let (counted, reloads) = (gateway.clone(), reload.counts());
     let counts = Rc::new(move || counters::print(&[counted.counts(), reloads.lines().to_vec()].concat()));
     let listener = Listener::new(gateway.clone(), clients, counts.clone());
--- a/crates/roseproxy/tests/sockets.rs
+++ b/crates/roseproxy/tests/sockets.rs
@@ -337,6 +337,10 @@
         spawn_local(Watcher::new(sidecar.gateway.clone(), address, None).run());
         let (mut stream, _) = old.accept().await.expect("the sidecar connects");
         message(&mut stream).await.expect("a request");
+        let known = list(3, true, &[(target, "in_service")]);
+        let answer = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{known}", known.len());
+        stream.write_all(answer.as_bytes()).await.expect("read");
+        message(&mut stream).await.expect("the watch behind it");
         let mut client = TcpStream::connect(sidecar.address).await.expect("connects");
         client.write_all(request("place-order", "1", "a").as_bytes()).await.expect("written");
         let (mut forward, _) = socket.accept().await.expect("the sidecar connects");
--- a/crates/routing/src/admit.rs
+++ b/crates/routing/src/admit.rs
@@ -12,11 +12,13 @@
         // against work for a client that has no time left to hear of it.
         let room = self.flows.len() <= self.settings.network.max_open;
         let reason = match (room, time_left > 0.0) {
-            (true, true) if !self.ending => return true,
             (_, false) => Some(RefusalReason::NoTime),
             (false, _) => Some(RefusalReason::NoRoom),
             // What is open when the process ends is lost: nothing is taken on any more that cannot be answered at once.
-            (true, true) => None,
+            (true, true) if self.ending => None,
+            // No attempt may be made by a list that is too old.
+            (true, true) if self.list_expired(now) => Some(RefusalReason::ListExpired),
+            (true, true) => return true,
         };
         self.book.turned_back += 1;
         let Some(reason) = reason else {
--- a/crates/routing/src/book.rs
+++ b/crates/routing/src/book.rs
@@ -51,6 +51,8 @@
     pub lists: u64,
     /// Failures of discovery told to the module.
     pub list_failures: u64,
+    /// How often the lease of the list in hand has ended.
+    pub lists_expired: u64,
     /// Calls to discovery that were made.
     pub calls: u64,
     /// Ends of calls and watches by reason, in the order of [`CALL_ENDS`].
@@ -131,6 +133,7 @@
             ("discovery_lists", self.lists),
             ("discovery_failures", self.list_failures),
             ("discovery_calls", self.calls),
+            ("lists_expired", self.lists_expired),
             ("timers_late", self.timers_late.0),
             ("timers_late_longest_ms", self.timers_late.1),
         ];
--- a/crates/routing/src/discovery.rs
+++ b/crates/routing/src/discovery.rs
@@ -4,6 +4,7 @@
 use super::timers::Due;
 use super::{time, EventKind, Host};
 use roseproxy_decision::interface::{Event, Update};
+use roseproxy_fleet::list_lease::{Failure, ListLease};
 use std::fmt;
 
 /// How a call to discovery, or the watch that it opened, ended.
@@ -11,6 +12,8 @@
 pub enum CallEnd {
     /// No connection came up.
     Unreachable,
+    /// This machine could not make the connection; that tells nothing of discovery.
+    NotMade,
     /// No answer began within the time for it.
     NoAnswer,
     /// It was answered with another status than 200.
@@ -28,8 +31,9 @@
 }
 
 /// All ends with the names that they are counted under.
-pub const CALL_ENDS: [(CallEnd, &str); 8] = [
+pub const CALL_ENDS: [(CallEnd, &str); 9] = [
     (CallEnd::Unreachable, "unreachable"),
+    (CallEnd::NotMade, "not_made"),
     (CallEnd::NoAnswer, "no_answer"),
     (CallEnd::TurnedAway, "turned_away"),
     (CallEnd::Broken, "broken"),
@@ -44,6 +48,18 @@
     pub fn name(self) -> &'static str {
         name_of(&CALL_ENDS, self)
     }
+
+    /// What it tells of whether discovery is there; `None` where it tells nothing.
+    fn failure(self) -> Option<Failure> {
+        match self {
+            CallEnd::Unreachable => Some(Failure::Unreachable),
+            CallEnd::NoAnswer | CallEnd::TurnedAway | CallEnd::Broken | CallEnd::Unreadable => {
+                Some(Failure::Unanswered)
+            }
+            CallEnd::WatchEnded => Some(Failure::WatchEnded),
+            CallEnd::NotMade | CallEnd::WatchSilent | CallEnd::Moved => None,
+        }
+    }
 }
 
 /// What happened between this sidecar and discovery.
@@ -75,6 +91,10 @@
     },
     /// A call or a watch ended, this long (ms) after the call.
     CallEnded(CallEnd, f64),
+    /// Nothing was heard for so long (ms) that the list in hand may not be acted on any more.
+    ListExpired(f64),
+    /// It may be acted on again.
+    ListRenewed,
 }
 
 impl fmt::Display for DiscoveryEvent {
@@ -95,6 +115,8 @@
             DiscoveryEvent::CallEnded(end, after) => {
                 write!(f, "call_ended reason={} after={after:.0}", end.name())
             }
+            DiscoveryEvent::ListExpired(age) => write!(f, "list_expired unconfirmed_for={age:.0}"),
+            DiscoveryEvent::ListRenewed => write!(f, "list_renewed"),
         }
     }
 }
@@ -105,10 +127,75 @@
         self.events.record(now, None, EventKind::Discovery(event));
     }
 
+    /// From now on discovery is followed: the list in hand is one that was kept from before the start, at this time. Without
+    /// this, whoever gives the list answers for its age.
+    pub fn follow_discovery(&mut self, now: f64, began: f64) {
+        let grace = self.notice_grace();
+        self.lease = Some(ListLease::of_kept_list(began, grace, !self.settings.must_subscribe));
+        self.watch_lease(now);
+    }
+
+    /// Discovery has told of a change, or that there is none.
+    pub fn list_confirmed(&mut self, now: f64) {
+        self.change_lease(now, |lease| lease.confirmed(now));
+    }
+
+    /// A call to discovery goes out, for the changes after this revision, or for the whole list.
+    pub fn call_started(&mut self, now: f64, revision: Option<u64>) {
+        self.book.calls += 1;
+        self.discovery_event(now, DiscoveryEvent::CallStarted(revision));
+        self.change_lease(now, |lease| lease.call_started(now));
+    }
+
+    /// Whether the list in hand is too old to be acted on.
+    pub(super) fn list_expired(&self, now: f64) -> bool {
+        self.lease.as_ref().is_some_and(|lease| lease.expired(now))
+    }
+
+    /// Whether discovery has confirmed the list since the start, or is away, and the list may be acted on.
+    pub(super) fn list_settled(&self, now: f64) -> bool {
+        self.lease.as_ref().is_none_or(|lease| lease.settled(now))
+    }
+
+    /// How long ago discovery has confirmed the list in hand (ms).
+    pub fn list_age(&self, now: f64) -> f64 {
+        self.lease.as_ref().map_or(0.0, |lease| lease.age(now))
+    }
+
+    /// How long sends may go on after word that an endpoint leaves, or after which a list is too old (ms): half of what the
+    /// platform allows, as a process may be held up between this check and its write.
+    pub(super) fn notice_grace(&self) -> f64 {
+        time::to_millis(self.settings.network.drain_grace) / 2.0
+    }
+
+    fn change_lease(&mut self, now: f64, change: impl FnOnce(&mut ListLease)) {
+        if let Some(lease) = self.lease.as_mut() {
+            change(lease);
+            self.watch_lease(now);
+        }
+    }
+
+    /// Has the lease looked at when it ends, and records where it has ended or begun anew.
+    pub(super) fn watch_lease(&mut self, now: f64) {
+        let Some(lease) = self.lease.as_ref() else { return };
+        let (expired, age) = (lease.expired(now), lease.age(now));
+        if let Some(end) = lease.expires_at().filter(|end| *end > now) {
+            self.timers.set(end, Due::ListLease);
+        }
+        if expired != std::mem::replace(&mut self.list_was_expired, expired) {
+            self.book.lists_expired += u64::from(expired);
+            let event = if expired { DiscoveryEvent::ListExpired(age) } else { DiscoveryEvent::ListRenewed };
+            self.discovery_event(now, event);
+        }
+    }
+
     /// A call to discovery failed or the watch broke; the list in hand stays.
     pub fn targets_failed(&mut self, now: f64, end: CallEnd) {
         self.book.list_failures += 1;
         self.book.call_ended(end);
+        if let Some(failure) = end.failure() {
+            self.change_lease(now, |lease| lease.failed(now, failure));
+        }
         if !self.settings.must_subscribe {
             // The module asks for no list where they are pushed.
             let pause = time::to_millis(self.pushed_calls.failed());
@@ -118,8 +205,9 @@
     }
 
     /// Discovery was moved while a call or a watch was open.
-    pub fn discovery_moved(&mut self) {
+    pub fn discovery_moved(&mut self, now: f64) {
         self.book.call_ended(CallEnd::Moved);
+        self.change_lease(now, |lease| lease.moved(now));
     }
 
     /// The watch fell silent and is opened anew without a pause; the list in hand stays.
--- a/crates/routing/src/event_log.rs
+++ b/crates/routing/src/event_log.rs
@@ -35,18 +35,21 @@
     SlowStart,
     /// The module forecast an answer that comes too late.
     Crowded,
+    /// Discovery was not heard of for so long that the list may be out of date.
+    ListExpired,
     /// The module gave it up after attempts that did it no harm.
     AttemptsFailed,
 }
 
 /// All reasons of refusals with the names that they are counted under.
-pub const REFUSALS: [(RefusalReason, &str); 7] = [
+pub const REFUSALS: [(RefusalReason, &str); 8] = [
     (RefusalReason::NoRoom, "no_room"),
     (RefusalReason::NoTime, "no_time"),
     (RefusalReason::UnknownClass, "unknown_class"),
     (RefusalReason::NoEndpoint, "no_endpoint"),
     (RefusalReason::SlowStart, "slow_start"),
     (RefusalReason::Crowded, "crowded"),
+    (RefusalReason::ListExpired, "list_expired"),
     (RefusalReason::AttemptsFailed, "attempts_failed"),
 ];
 
--- a/crates/routing/src/guard.rs
+++ b/crates/routing/src/guard.rs
@@ -35,10 +35,12 @@
     WindowOver,
     /// The endpoint has just started, and own calls alone would push it over.
     SlowStart,
+    /// Discovery was not heard of for so long that the list may be out of date.
+    ListExpired,
 }
 
 /// All reasons with the names that they are counted under.
-pub const WITHHELD: [(Withheld, &str); 12] = [
+pub const WITHHELD: [(Withheld, &str); 13] = [
     (Withheld::RequestEnded, "request_ended"),
     (Withheld::ClientLeft, "client_left"),
     (Withheld::WrittenTooLate, "written_too_late"),
@@ -51,6 +53,7 @@
     (Withheld::OutsideGroup, "outside_group"),
     (Withheld::WindowOver, "window_over"),
     (Withheld::SlowStart, "slow_start"),
+    (Withheld::ListExpired, "list_expired"),
 ];
 
 impl Withheld {
@@ -131,7 +134,11 @@
     /// Whether an endpoint may be sent something new. Word of its drain may have come between a decision
     /// and the send: within the grace that is allowed, and after it never.
     fn takes_work(&self, now: f64, endpoint: ServerId) -> Result<&Member, Withheld> {
-        let grace = time::to_millis(self.settings.network.drain_grace) / 2.0;
+        // Word of a drain counts as told after a time even where it has not come: an old list is no leave to send.
+        if self.list_expired(now) {
+            return Err(Withheld::ListExpired);
+        }
+        let grace = self.notice_grace();
         let member = self.members.get(&endpoint).ok_or(Withheld::EndpointGone)?;
         match member.target.readiness {
             Readiness::Ready => Ok(member),
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -34,6 +34,7 @@
 use roseproxy_decision::interface::{Action, ClassId, Micros, Outcome, Readiness, ServerId, Settings};
 use roseproxy_decision::policy::Balancer;
 use roseproxy_fleet::calls::PushedCalls;
+use roseproxy_fleet::list_lease::ListLease;
 use roseproxy_fleet::slow_start::SlowStart;
 use std::collections::{HashMap, VecDeque};
 use timers::{Due, Timers};
@@ -114,6 +115,10 @@
     last_probe: u64,
     /// Where lists are pushed: the pauses between calls to discovery.
     pushed_calls: PushedCalls,
+    /// How long the list in hand may be acted on; `None` where nobody follows discovery.
+    lease: Option<ListLease>,
+    /// Whether it had expired when it was looked at last.
+    list_was_expired: bool,
     /// What endpoints that have just started may be sent, and when what warm ones serve was last taken in.
     slow_start: SlowStart,
     observed_at: f64,
@@ -153,6 +158,8 @@
             last_flow: 0,
             last_probe: 0,
             pushed_calls: PushedCalls::default(),
+            lease: None,
+            list_was_expired: false,
             book: Book::default(),
             events: EventLog::default(),
         }
@@ -177,6 +184,7 @@
                 Due::Flow(id) => self.flow_overdue(now, id),
                 Due::Probe(target, number) => self.probe_overdue(now, target, number),
                 Due::Watch => self.orders.push_back(Order::Watch),
+                Due::ListLease => self.watch_lease(now),
             }
         }
     }
@@ -198,9 +206,9 @@
         self.members.len()
     }
 
-    /// Whether a request would find a target in service.
-    pub fn can_serve(&self) -> bool {
-        self.members.values().any(|m| m.target.readiness == Readiness::Ready)
+    /// Whether a request would find an endpoint in service, by a list that may be acted on.
+    pub fn can_serve(&self, now: f64) -> bool {
+        self.list_settled(now) && self.members.values().any(|m| m.target.readiness == Readiness::Ready)
     }
 
     /// What the module makes of the target group, in whole numbers by name: to be held against the
--- a/crates/routing/src/relay.rs
+++ b/crates/routing/src/relay.rs
@@ -26,7 +26,8 @@
 
     fn answer_as(&mut self, now: f64, id: FlowId, answer: Answer, refusal: Option<RefusalReason>) {
         // One that is not admitted is answered as soon as it is read.
-        if !matches!(refusal, Some(RefusalReason::NoTime | RefusalReason::NoRoom)) {
+        let turned_back = [RefusalReason::NoTime, RefusalReason::NoRoom, RefusalReason::ListExpired];
+        if !refusal.is_some_and(|reason| turned_back.contains(&reason)) {
             self.check_answer_time(now, id);
         }
         if !self.close_flow(now, id) {
--- a/crates/routing/src/timers.rs
+++ b/crates/routing/src/timers.rs
@@ -18,6 +18,8 @@
     Probe(ServerId, u64),
     /// Where lists are pushed: discovery is to be watched anew.
     Watch,
+    /// The lease of the list in hand may have ended.
+    ListLease,
 }
 
 #[derive(Debug)]
--- a/crates/transport/src/discovery.rs
+++ b/crates/transport/src/discovery.rs
@@ -1,6 +1,6 @@
 //! The watch on discovery.
 
-use super::connecting::connect;
+use super::connecting::{connect, ConnectError};
 use super::connection::Connection;
 use super::gateway::Gateway;
 use super::length;
@@ -37,6 +37,8 @@
     revision: Option<u64>,
     /// The version of the list taken last, whoever it came from.
     last: u64,
+    /// When the process began (ms): what changed before may count as told from then on.
+    began: f64,
 }
 
 impl<N: Network> Watcher<N> {
@@ -48,7 +50,13 @@
     ) -> Watcher<N> {
         let last = known.unwrap_or(0);
         gateway.set_revision(last);
-        Watcher { gateway, address, revision: known, last }
+        let began = gateway.now();
+        Watcher { gateway, address, revision: known, last, began }
+    }
+
+    /// The same for a process that began earlier, at this time (ms).
+    pub fn of_process_since(self, began: f64) -> Watcher<N> {
+        Watcher { began, ..self }
     }
 
     /// Watches whenever routing wants it, and tells it of failures; routing's timers, which the
@@ -57,6 +65,7 @@
     pub async fn run(mut self) {
         let (revision, endpoints) = (self.last, self.gateway.endpoints());
         self.gateway.discovery_event(DiscoveryEvent::KeptList { revision, endpoints });
+        self.gateway.follow_discovery(self.began);
         loop {
             let mut moves = self.address.clone();
             tokio::select! {
@@ -120,7 +129,10 @@
         let host = address.to_string();
         self.gateway.call_started(self.revision);
         let connection = connect(self.gateway.network(), address, CONNECT).await;
-        let mut connection = connection.map_err(|_| CallEnd::Unreachable)?;
+        let mut connection = connection.map_err(|error| match error {
+            ConnectError::Here => CallEnd::NotMade,
+            ConnectError::There => CallEnd::Unreachable,
+        })?;
         let known = match self.revision {
             Some(revision) => revision,
             None => self.fetch_list(&mut connection, &host).await?,
@@ -166,7 +178,7 @@
             decoder.take(&data, |frame| {
                 match frame {
                     WatchFrame::Partial => return,
-                    WatchFrame::Heartbeat => {}
+                    WatchFrame::Heartbeat => self.gateway.list_confirmed(),
                     WatchFrame::Object(text) => self.take(&text),
                 }
                 alive = self.gateway.now();
@@ -195,6 +207,8 @@
                 let taken = DiscoveryEvent::ListTaken { revision, complete, entries, unread, behind };
                 self.gateway.discovery_event(taken);
                 self.gateway.set_revision(revision);
+                // Before what waits for a list is sent by it.
+                self.gateway.list_confirmed();
                 self.gateway.listed(update, targets, behind);
             }
             Err(reason) => {
--- a/crates/transport/src/gateway.rs
+++ b/crates/transport/src/gateway.rs
@@ -191,15 +191,28 @@
         self.host.borrow_mut().discovery_event(self.now(), event);
     }
 
+    /// From now on discovery is followed; the list in hand is one that was kept from before the start, at this time (ms).
+    pub(super) fn follow_discovery(self: &Rc<Self>, began: f64) {
+        self.host.borrow_mut().follow_discovery(self.now(), began);
+        self.settle();
+    }
+
     /// A call to discovery goes out.
-    pub(super) fn call_started(&self, revision: Option<u64>) {
-        self.host.borrow_mut().book.calls += 1;
-        self.discovery_event(DiscoveryEvent::CallStarted(revision));
+    pub(super) fn call_started(self: &Rc<Self>, revision: Option<u64>) {
+        self.host.borrow_mut().call_started(self.now(), revision);
+        self.settle();
+    }
+
+    /// Discovery has told of a change, or that there is none.
+    pub(super) fn list_confirmed(self: &Rc<Self>) {
+        self.host.borrow_mut().list_confirmed(self.now());
+        self.settle();
     }
 
     /// Discovery was moved while a call or a watch was open.
-    pub(super) fn discovery_moved(&self) {
-        self.host.borrow_mut().discovery_moved();
+    pub(super) fn discovery_moved(self: &Rc<Self>) {
+        self.host.borrow_mut().discovery_moved(self.now());
+        self.settle();
     }
 
     /// The watch fell silent and is opened anew.
@@ -254,9 +267,9 @@
         }
     }
 
-    /// Whether a request would find a target.
+    /// Whether a request would find an endpoint, by a list that may be acted on.
     pub fn can_serve(&self) -> bool {
-        self.host.borrow().can_serve()
+        self.host.borrow().can_serve(self.now())
     }
 
     /// The process is about to end: answers all flows that are open as failed, and whatever comes from here on.
@@ -285,6 +298,7 @@
         lines.extend(self.traffic.lines());
         let now = [
             ("discovery_revision", self.revision.get()),
+            ("discovery_list_age_ms", self.host.borrow().list_age(self.now()) as u64),
             ("targets_idle", self.pool.borrow().len() as u64),
             ("targets_open", self.targets.used() as u64),
         ];
