Soak: lost zones on kept lists, larger stated fleets, absences that let calls wait

Cause of the gap: sidecars of the soak started with no list, in fleets of eight but for large lists, and endpoints that left never came back under their names, so that it could not show the incident. Change: sidecars start on the list that they had last (0.7 of the runs), a third of sidecars and endpoints is lost for 6.5 to 9 s and comes back as it was, the stated fleet is 8, 100 or 300, discovery that is down lets calls wait in half of the cases, some absences are three times as long, and the judge knows of endpoints that return. Found by it: the new invariant itself was wrong where the patience of a start had ended ('violations_attempt_by_expired_list 21'): the lease now says since when it has expired.

--- a/crates/fleet/src/list_lease.rs
+++ b/crates/fleet/src/list_lease.rs
@@ -86,10 +86,13 @@
 
     /// Whether the list must not be acted on any more.
     pub fn expired(&self, now: f64) -> bool {
-        match self.term {
-            Term::WhileAway => false,
-            Term::Until(end) => now >= end && !(self.start_failed && self.patience_is_over(now)),
-        }
+        self.expired_since(now).is_some()
+    }
+
+    /// Since when the list must not be acted on any more; `None` while it may.
+    pub fn expired_since(&self, now: f64) -> Option<f64> {
+        let away_since_start = self.start_failed && self.patience_is_over(now);
+        self.expires_at().filter(|end| now >= *end && !away_since_start)
     }
 
     /// When it expires unless discovery is heard of before; `None` while discovery is away.
@@ -100,10 +103,17 @@
         }
     }
 
+    /// When it has to be looked at next: it expires then, or may be acted on again.
+    pub fn next_change(&self, now: f64) -> Option<f64> {
+        let patience_ends = self.start_failed.then_some(self.began + START_PATIENCE);
+        let changes = self.expires_at().into_iter().chain(patience_ends);
+        changes.filter(|at| *at > now).min_by(f64::total_cmp)
+    }
+
     /// Whether the sidecar may say that it is ready: discovery has confirmed the list since the start, or is away.
     pub fn settled(&self, now: f64) -> bool {
         let away = self.term == Term::WhileAway || (self.start_failed && self.patience_is_over(now));
-        (self.confirmed_at.is_some() || away) && !self.expired(now)
+        !self.expired(now) && (away || self.confirmed_at.is_some())
     }
 
     /// Time since discovery has confirmed the list, or since the start where it has not (ms).
--- a/crates/fleet/tests/list_lease.rs
+++ b/crates/fleet/tests/list_lease.rs
@@ -64,6 +64,9 @@
     let mut turned_away = kept();
     turned_away.failed(BEGAN + 2_000.0, Failure::Unanswered);
     assert_eq!(expired_at(&turned_away, &[2_000.0, 4_999.0, 5_000.0]), [true, true, false]);
+    assert_eq!(turned_away.next_change(BEGAN + 2_000.0), Some(BEGAN + 5_000.0));
+    assert_eq!(turned_away.expired_since(BEGAN + 4_999.0), Some(BEGAN + GRACE));
+    assert_eq!(turned_away.expired_since(BEGAN + 5_000.0), None);
     assert!(!turned_away.settled(BEGAN + 4_999.0) && turned_away.settled(BEGAN + 5_000.0));
     let mut late = kept();
     late.failed(BEGAN + 6_000.0, Failure::Unanswered);
--- a/crates/routing/src/discovery.rs
+++ b/crates/routing/src/discovery.rs
@@ -152,6 +152,12 @@
         self.lease.as_ref().is_some_and(|lease| lease.expired(now))
     }
 
+    /// For how long the list in hand has been too old to be acted on (ms); 0 while it may be.
+    pub(super) fn list_expired_for(&self, now: f64) -> f64 {
+        let since = self.lease.as_ref().and_then(|lease| lease.expired_since(now));
+        since.map_or(0.0, |since| now - since)
+    }
+
     /// Whether discovery has confirmed the list since the start, or is away, and the list may be acted on.
     pub(super) fn list_settled(&self, now: f64) -> bool {
         self.lease.as_ref().is_none_or(|lease| lease.settled(now))
@@ -179,8 +185,8 @@
     pub(super) fn watch_lease(&mut self, now: f64) {
         let Some(lease) = self.lease.as_ref() else { return };
         let (expired, age) = (lease.expired(now), lease.age(now));
-        if let Some(end) = lease.expires_at().filter(|end| *end > now) {
-            self.timers.set(end, Due::ListLease);
+        if let Some(change) = lease.next_change(now) {
+            self.timers.set(change, Due::ListLease);
         }
         if expired != std::mem::replace(&mut self.list_was_expired, expired) {
             self.book.lists_expired += u64::from(expired);
--- a/crates/soak/src/control.rs
+++ b/crates/soak/src/control.rs
@@ -54,6 +54,8 @@
     pub port: usize,
     /// Accepts nothing, and closes what is open.
     pub down: bool,
+    /// While it is down, calls wait in its queue and are turned away then, in place of being closed at once.
+    pub queues: bool,
     /// Open watches are told nothing, nor that nothing changed.
     pub silences: u64,
     /// Version of the list.
--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -1,7 +1,7 @@
 //! The faults of a run: drawn by its seed, two or three at a time.
 
 use crate::control::{ClientConduct, EndpointConduct};
-use crate::fleet::{sleep, Fleet};
+use crate::fleet::{sleep, Fleet, IN_SERVICE};
 use crate::records::now;
 use crate::shim::{errno, Fault};
 use crate::timeline::Played;
@@ -10,6 +10,7 @@
 use rand_chacha::ChaCha8Rng;
 use rustix::process::Signal;
 use std::rc::Rc;
+use tokio::task::spawn_local;
 
 /// Lengths of faults (s).
 const LENGTHS: (f64, f64) = (0.4, 3.0);
@@ -17,6 +18,12 @@
 const PAUSES: (f64, f64) = (0.4, 1.0);
 /// How long a draining endpoint stays (ms).
 const DRAIN: f64 = 4_000.0;
+/// How long a zone's sidecars are away, and how long after their return its endpoints come back (ms). What left counts as
+/// told meanwhile.
+const ZONE_AWAY: (f64, f64) = (6_500.0, 9_000.0);
+const ZONE_BACK: (f64, f64) = (2_000.0, 5_000.0);
+/// How much longer some absences of discovery are than other faults.
+const LONG_ABSENCE: f64 = 3.0;
 /// How long a process is held up (ms): the platform allows 150, and telling it to go on takes a moment too.
 const STALL: f64 = 100.0;
 
@@ -53,13 +60,15 @@
     ReloadUnreadable,
     /// A sidecar's process stands still for a moment.
     Stall,
+    /// A third of the sidecars are killed and a third of the endpoints leave the list; both come back as they were.
+    ZoneLoss,
     /// An endpoint drains and goes; a new one comes in its place.
     Drain,
     /// An endpoint's process dies; it starts again, cold.
     Crash,
     /// Endpoints misbehave.
     Endpoints(Misconduct),
-    /// Discovery is down.
+    /// Discovery is down, and closes connections or lets calls wait.
     DiscoveryDown,
     /// All open watches fall silent.
     Silence,
@@ -132,6 +141,8 @@
     Kind::Reload,
     Kind::ReloadUnreadable,
     Kind::Stall,
+    Kind::ZoneLoss,
+    Kind::ZoneLoss,
     Kind::Drain,
     Kind::Drain,
     Kind::Crash,
@@ -145,6 +156,7 @@
     Kind::Endpoints(Misconduct::Close),
     Kind::Endpoints(Misconduct::Slow),
     Kind::DiscoveryDown,
+    Kind::DiscoveryDown,
     Kind::Silence,
     Kind::Leave,
     Kind::Leave,
@@ -232,14 +244,8 @@
             Kind::Drain => self.drain(&fleet).await,
             Kind::Crash => self.crash(&fleet).await,
             Kind::Endpoints(misconduct) => self.misconduct(&fleet, misconduct).await,
-            Kind::DiscoveryDown => {
-                fleet.registry.borrow_mut().down = true;
-                fleet.publish().await;
-                sleep(self.millis()).await;
-                fleet.registry.borrow_mut().down = false;
-                fleet.publish().await;
-                fleet.timeline.borrow_mut().discovery_down.push((from, now()));
-            }
+            Kind::DiscoveryDown => self.discovery_down(&fleet, from).await,
+            Kind::ZoneLoss => self.zone_loss(&fleet).await,
             Kind::Silence => {
                 fleet.registry.borrow_mut().silences += 1;
                 fleet.publish().await;
@@ -284,7 +290,7 @@
     fn endpoint(&self, fleet: &Fleet) -> Option<usize> {
         let registry = fleet.registry.borrow();
         let up: Vec<usize> =
-            registry.members.iter().filter(|m| m.phase == "in_service").map(|m| m.endpoint).collect();
+            registry.members.iter().filter(|m| m.phase == IN_SERVICE).map(|m| m.endpoint).collect();
         // Never the last ones: the fleet has to serve.
         (up.len() > 3).then(|| up[(self.draw / 64 % up.len() as u64) as usize])
     }
@@ -346,6 +352,57 @@
         fleet.remove_endpoint(number);
     }
 
+    async fn discovery_down(&self, fleet: &Rc<Fleet>, from: f64) {
+        let longer = if self.draw % 3 == 0 { LONG_ABSENCE } else { 1.0 };
+        {
+            let mut registry = fleet.registry.borrow_mut();
+            (registry.down, registry.queues) = (true, self.draw / 3 % 2 == 0);
+        }
+        fleet.publish().await;
+        sleep(self.millis() * longer).await;
+        fleet.registry.borrow_mut().down = false;
+        fleet.publish().await;
+        fleet.timeline.borrow_mut().discovery_down.push((from, now()));
+    }
+
+    async fn zone_loss(&self, fleet: &Rc<Fleet>) {
+        let mut random = ChaCha8Rng::seed_from_u64(self.draw);
+        let in_zone = |number: usize| number as u64 % 3 == self.draw % 3;
+        let lost: Vec<usize> = (0..fleet.sidecars.len())
+            .filter(|number| in_zone(*number) && !fleet.sidecars[*number].busy.replace(true))
+            .collect();
+        for number in &lost {
+            fleet.kill_outright(*number).await;
+        }
+        let gone: Vec<usize> = {
+            let registry = fleet.registry.borrow();
+            let up = registry.members.iter().filter(|m| m.phase == IN_SERVICE && in_zone(m.id));
+            up.map(|m| m.endpoint).collect()
+        };
+        sleep(self.millis() / 3.0).await;
+        for number in &gone {
+            fleet.announce(*number, "terminated").await;
+        }
+        sleep(random.random_range(ZONE_AWAY.0..ZONE_AWAY.1)).await;
+        let starting = lost.into_iter().map(|number| {
+            let fleet = fleet.clone();
+            spawn_local(async move {
+                if let Err(reason) = fleet.start(number).await {
+                    eprintln!("roseproxy-soak: sidecar {number}: {reason}");
+                }
+                fleet.sidecars[number].busy.set(false);
+            })
+        });
+        let starting: Vec<_> = starting.collect();
+        sleep(random.random_range(ZONE_BACK.0..ZONE_BACK.1)).await;
+        for number in &gone {
+            fleet.announce(*number, IN_SERVICE).await;
+        }
+        for one in starting {
+            let _ = one.await;
+        }
+    }
+
     async fn crash(&self, fleet: &Rc<Fleet>) {
         let Some(number) = self.endpoint(fleet) else { return };
         let Some(member) = fleet.remove_endpoint(number) else { return };
--- a/crates/soak/src/fleet.rs
+++ b/crates/soak/src/fleet.rs
@@ -30,6 +30,9 @@
 pub const LISTED_CELL: u32 = 9;
 const LISTED_NUMBER: usize = 1_000_000;
 
+/// The phase of an endpoint that takes work.
+pub const IN_SERVICE: &str = "in_service";
+
 /// What measuring may be off by on a machine that is not busy (ms).
 pub const USUAL_SLACK: f64 = 50.0;
 
@@ -52,6 +55,8 @@
     /// Its clients.
     pub clients: StandIn,
     child: RefCell<Option<Child>>,
+    /// The list as its process had it last: the next one starts on it.
+    kept: RefCell<Option<Registry>>,
     /// How often it has been started; each start has a log of its own.
     starts: Cell<u64>,
     /// Whether it is being restarted.
@@ -149,6 +154,7 @@
                 control: control.map_err(|e| format!("the control file: {e}"))?,
                 clients: StandIn::start(&arguments, records.clone())?,
                 child: RefCell::new(None),
+                kept: RefCell::new(None),
                 starts: Cell::new(0),
                 busy: Cell::new(false),
                 leaving: Cell::new(false),
@@ -217,16 +223,19 @@
         Ok(number)
     }
 
-    /// Has the list say that an endpoint drains or is gone.
+    /// Has the list say that an endpoint drains, is gone, or is in service again.
     pub async fn announce(&self, number: usize, phase: &str) {
-        let mut known = false;
+        let mut event = None;
         for member in self.registry.borrow_mut().members.iter_mut().filter(|m| m.endpoint == number) {
-            known = member.phase == "in_service";
+            event = match (member.phase == IN_SERVICE, phase == IN_SERVICE) {
+                (true, false) => Some(EndpointEvent::Leaves),
+                (false, true) => Some(EndpointEvent::Returns),
+                _ => None,
+            };
             phase.clone_into(&mut member.phase);
         }
-        if known {
-            self.timeline.borrow_mut().endpoints.push((now(), number, EndpointEvent::Leaves));
-        }
+        let event = event.map(|event| (now(), number, event));
+        self.timeline.borrow_mut().endpoints.extend(event);
         self.publish().await;
     }
 
@@ -294,7 +303,10 @@
         let discovery = sidecar.ports[self.registry.borrow().port];
         let name = format!("sidecar-{}", sidecar.number);
         let seed = self.seed * 1_000_000 + sidecar.number as u64 * 1_000 + sidecar.starts.get();
-        let config = self.settings.config(&name, sidecar.listen, discovery, seed);
+        let mut config = self.settings.config(&name, sidecar.listen, discovery, seed);
+        if let Some(kept) = sidecar.kept.borrow().as_ref().filter(|_| self.settings.kept_lists) {
+            config["known"] = crate::discovery::list(kept, true, &kept.members);
+        }
         // Replaced whole: half a file is never read.
         let fresh = sidecar.config.with_extension("new");
         let written = std::fs::write(&fresh, config.to_string());
@@ -391,6 +403,7 @@
     pub async fn stop(self: &Rc<Self>, number: usize, series: &[(f64, Signal)]) {
         let sidecar = &self.sidecars[number];
         self.event(number, SidecarEvent::Terminated);
+        self.keep_list(number);
         self.signal(number, Signal::TERM);
         let process = self.process(number);
         for (after, signal) in series.iter().copied() {
@@ -419,9 +432,15 @@
         sidecar.say(ClientConduct::default()).await;
     }
 
+    /// Keeps the list as it is now for a sidecar's next process.
+    pub fn keep_list(&self, number: usize) {
+        *self.sidecars[number].kept.borrow_mut() = Some(self.registry.borrow().clone());
+    }
+
     /// Ends a sidecar without a word.
     pub async fn kill_outright(&self, number: usize) {
         self.event(number, SidecarEvent::KilledOutright);
+        self.keep_list(number);
         self.kill(number).await;
         self.sidecars[number].say(ClientConduct::default()).await;
     }
--- a/crates/soak/src/records.rs
+++ b/crates/soak/src/records.rs
@@ -71,6 +71,8 @@
     },
     /// Discovery has told a sidecar of an endpoint.
     Told { sidecar: usize, endpoint: usize, at: f64, in_service: bool },
+    /// What was written at that time broke with its connection, and may not have arrived: it counts as told by the clock.
+    Lost { sidecar: usize, endpoint: usize, at: f64 },
     /// A process says what went wrong with itself: no result of the test.
     Trouble { what: String },
 }
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -66,6 +66,7 @@
         let fleet = Fleet::new(settings, how.endpoints, &how.program, folder.path(), (seed, how.slack))?;
         fleet.registry.borrow_mut().indented = seed % 2 == 0;
         fleet.publish().await;
+        (0..how.sidecars).for_each(|number| fleet.keep_list(number));
         fleet.start_all().await?;
         let began = now();
         for number in 0..how.sidecars {
--- a/crates/soak/src/settings.rs
+++ b/crates/soak/src/settings.rs
@@ -13,6 +13,10 @@
 /// Share of runs with a large list, and the endpoints that it names besides; the size of such a fleet.
 const LARGE: (f64, usize) = (0.25, 3_200);
 const LARGE_FLEET: usize = 300;
+/// Sizes that a fleet is said to have, beside its own; calls to discovery are spread by them.
+const STATED_SIZES: [usize; 2] = [100, LARGE_FLEET];
+/// Share of runs whose sidecars start on the list that they had last.
+const KEPT_LISTS: f64 = 0.7;
 
 /// The settings that the judge needs as well.
 #[derive(Clone, Copy, Debug)]
@@ -27,6 +31,10 @@
     pub pushed: bool,
     /// The longest deadline of a class (ms): SIGKILL comes that long, and 0.7 s, after SIGTERM.
     pub deadline: f64,
+    /// Sidecars that the settings state.
+    pub fleet_size: usize,
+    /// Whether sidecars start on the list that they had last.
+    pub kept_lists: bool,
     /// Endpoints that are listed beside those that run; all of them are served by one process.
     pub listed: usize,
     /// Whether endpoints remember keys.
@@ -54,7 +62,12 @@
     pub fn draw(random: &mut ChaCha8Rng, sidecars: usize, capacity: f64) -> Settings {
         let deadline = DEADLINES.choose(random).copied().unwrap_or(DEADLINES[0]);
         let listed = if random.random_bool(LARGE.0) { LARGE.1 } else { 0 };
+        let sizes = [sidecars, STATED_SIZES[0], STATED_SIZES[1]];
+        let stated = sizes.choose(random).copied().unwrap_or(sidecars);
         Settings {
+            // A large list belongs to a large fleet.
+            fleet_size: if listed > 0 { LARGE_FLEET } else { stated },
+            kept_lists: random.random_bool(KEPT_LISTS),
             deadline,
             listed,
             warm_keys: random.random_bool(0.5),
@@ -78,15 +91,6 @@
         self.deadline.min(LONGEST_DEADLINE) + KILL_AFTER_DEADLINE
     }
 
-    /// Sidecars in the fleet, as the settings say: a large list belongs to a large fleet.
-    fn fleet_size(&self) -> usize {
-        if self.listed > 0 {
-            LARGE_FLEET
-        } else {
-            self.sidecars
-        }
-    }
-
     /// A sidecar's configuration.
     pub fn config(&self, name: &str, listen: u16, discovery: u16, seed: u64) -> Value {
         let micros = |millis: f64| (millis * 1e3) as u64;
@@ -99,7 +103,7 @@
             "seed": format!("{seed:x}"), "limits": {"sockets": 256},
             "settings": {
                 "discovery": if self.pushed { "pushed" } else { "on_request" },
-                "fleet_size": self.fleet_size(),
+                "fleet_size": self.fleet_size,
                 "family_info": {"warm_keys": self.warm_keys},
                 "prices": {"probe": 0.1},
                 "limits": {"cancel": self.cancel, "max_attempts": self.max_attempts, "max_retry_after": 1_000_000,
--- a/crates/soak/src/timeline.rs
+++ b/crates/soak/src/timeline.rs
@@ -26,6 +26,8 @@
     Started,
     /// The list says that it drains or is gone.
     Leaves,
+    /// The list says that it is in service again.
+    Returns,
 }
 
 /// A fault that was played.
