--- a/crates/roseproxy/tests/crossed_faults.rs
+++ b/crates/roseproxy/tests/crossed_faults.rs
@@ -104,3 +104,26 @@
         assert!(moved.is_ok(), "discovery is not called where it has moved to");
     });
 }
+
+/// A new configuration is written in two parts, and the signal comes between them: it is read again by itself, as nobody
+/// will say once more that it was replaced.
+#[test]
+fn a_configuration_that_is_half_written_at_the_signal_is_taken_over_once_it_is_whole() {
+    scene(async {
+        let ((first, first_address), (second, second_address)) = (port().await, port().await);
+        let (mut program, path) = start("half", first_address);
+        let _call = first.accept().await.expect("it calls discovery");
+        write_config(&path, second_address);
+        let whole = std::fs::read(&path).expect("written");
+        std::fs::write(&path, &whole[..whole.len() / 2]).expect("written");
+        let told = Command::new("sh").args(["-c", &format!("kill -HUP {}", program.id())]).status();
+        assert!(told.expect("a shell").success());
+        tokio::time::sleep(Duration::from_millis(300)).await;
+        std::fs::write(&path, &whole).expect("written");
+        let moved = tokio::time::timeout(Duration::from_secs(15), second.accept()).await;
+        program.kill().expect("it runs");
+        program.wait().expect("it ends");
+        std::fs::remove_file(&path).expect("it is there");
+        assert!(moved.is_ok(), "discovery is not called where it has moved to");
+    });
+}
