Ask again for changes that cannot be read, and read again a configuration that ends too early

Cause: what could not be read on a watch was counted, and the next change moved the revision past it, so that a drain could stay unheard for good; a file that ends too early at SIGHUP was taken for a faulty one, and discovery's move was missed. Change: the watch is opened anew from the version before what is missing, at once where it had been well for 4.5 s and with the usual pauses else; an entry that cannot be read has the whole list asked for, once for each version; a file that ends too early is read again like one that cannot be opened, for a second at a start. Test changed: the_watch_resumes_by_index wanted the version behind an unreadable line to be kept (index=43); that line may have been the change of version 42, so it wants 41 now, and still that the change behind it holds and that the version then moves to 43.

--- a/crates/roseproxy/src/config.rs
+++ b/crates/roseproxy/src/config.rs
@@ -13,6 +13,9 @@
 /// Sockets where the configuration sets no limit.
 const USUAL_SOCKETS: u64 = 1024;
 
+/// How often a start reads a file again that ends too early (a tenth of a second each).
+const TRIES_OF_INCOMPLETE: u32 = 10;
+
 /// What a sidecar is told.
 #[derive(Debug)]
 pub struct Config {
@@ -46,14 +49,21 @@
         /// Why.
         error: io::Error,
     },
+    /// The file ends too early, as one does that is just being written.
+    Incomplete(String),
     /// What it says is missing or wrong; names the key.
     Faulty(String),
 }
 
 impl ConfigError {
-    /// Whether it may be gone in a moment, as where descriptors are short. A file that is not there is none.
-    pub fn passes(&self) -> bool {
-        matches!(self, ConfigError::Unreadable { error, .. } if super::startup::passes(error))
+    /// How often a start reads the file again: where descriptors are short, or the file may be just being written. One that
+    /// is not there is none.
+    pub fn tries(&self) -> u32 {
+        match self {
+            ConfigError::Unreadable { error, .. } => super::startup::tries(error),
+            ConfigError::Incomplete(_) => TRIES_OF_INCOMPLETE,
+            ConfigError::Faulty(_) => 0,
+        }
     }
 }
 
@@ -61,7 +71,7 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
             ConfigError::Unreadable { path, error } => write!(f, "LB_CONFIG: {path}: {error}"),
-            ConfigError::Faulty(reason) => f.write_str(reason),
+            ConfigError::Incomplete(reason) | ConfigError::Faulty(reason) => f.write_str(reason),
         }
     }
 }
@@ -84,7 +94,10 @@
     pub fn load(variable: impl Fn(&str) -> Option<String>) -> Result<Config, ConfigError> {
         let path = variable("LB_CONFIG").ok_or("LB_CONFIG is not set")?;
         match std::fs::read_to_string(&path) {
-            Ok(text) => Ok(Config::read(&text, variable)?),
+            Ok(text) => Config::read(&text, variable).map_err(|reason| match ends_too_early(&text) {
+                true => ConfigError::Incomplete(reason),
+                false => ConfigError::Faulty(reason),
+            }),
             Err(error) => Err(ConfigError::Unreadable { path, error }),
         }
     }
@@ -125,6 +138,11 @@
     }
 }
 
+/// Whether more of this text would make JSON of it.
+fn ends_too_early(text: &str) -> bool {
+    serde_json::from_str::<Value>(text).is_err_and(|error| error.is_eof())
+}
+
 fn seed(all: &Value) -> Result<u64, String> {
     let text = all.get("seed").ok_or("seed is missing")?;
     let text = text.as_str().ok_or("seed is not a text")?;
--- a/crates/roseproxy/src/main.rs
+++ b/crates/roseproxy/src/main.rs
@@ -22,7 +22,7 @@
         let signals = Signals::catch().map_err(|e| format!("signals: {e}"))?;
         let lines = log.clone();
         let say: Rc<dyn Fn(&str)> = Rc::new(move |line| lines.say(line));
-        let config = patiently(&*say, ConfigError::passes, || async { read() }).await;
+        let config = patiently(&*say, ConfigError::tries, || async { read() }).await;
         let config = config.map_err(|e| format!("configuration: {e}"))?;
         let print_events = std::env::var_os("LB_EVENT_LOG").is_some();
         let around = Surroundings { network: Tcp, clock: Clock::system(), say, decider: None, print_events };
--- a/crates/roseproxy/src/reload.rs
+++ b/crates/roseproxy/src/reload.rs
@@ -74,13 +74,16 @@
         let tries = std::mem::take(&mut self.unreadable);
         match read {
             Ok(next) => Taken { said: Some(self.take_over(next)), again_in: None },
-            Err(reason @ ConfigError::Unreadable { .. }) if tries + 1 < MOST_TRIES => {
+            Err(reason @ (ConfigError::Unreadable { .. } | ConfigError::Incomplete(_)))
+                if tries + 1 < MOST_TRIES =>
+            {
                 self.unreadable = tries + 1;
-                let said =
-                    (tries == 0).then(|| format!("configuration cannot be read, is tried again: {reason}"));
+                let said = (tries == 0).then(|| self.waits_for(&reason));
                 let pause = RETRY.0 * f64::from(1 << tries.min(8));
                 Taken { said, again_in: Some(pause.min(RETRY.1)) }
             }
+            // One that ended too early was counted when it was read first.
+            Err(ConfigError::Incomplete(_)) if tries > 0 => Taken { said: None, again_in: None },
             Err(reason) => {
                 // A file half replaced or mistyped must not end what serves: the old one stays.
                 self.counts.faulty.set(self.counts.faulty.get() + 1);
@@ -90,6 +93,15 @@
         }
     }
 
+    /// Counts and names what has to be read again, as it is the first time.
+    fn waits_for(&self, reason: &ConfigError) -> String {
+        if let ConfigError::Incomplete(_) = reason {
+            self.counts.faulty.set(self.counts.faulty.get() + 1);
+            return format!("configuration not taken over, the one before stays until it is whole: {reason}");
+        }
+        format!("configuration cannot be read, is tried again: {reason}")
+    }
+
     fn take_over(&mut self, next: Config) -> String {
         self.counts.taken.set(self.counts.taken.get() + 1);
         let moved = self
--- a/crates/roseproxy/src/start.rs
+++ b/crates/roseproxy/src/start.rs
@@ -40,7 +40,7 @@
 ) -> Result<String, String> {
     let Surroundings { network, clock, say, decider, print_events } = around;
     let began = clock.now();
-    let socket = startup::patiently(&*say, startup::passes, || network.listen(config.listen)).await;
+    let socket = startup::patiently(&*say, startup::tries, || network.listen(config.listen)).await;
     let socket = socket.map_err(|e| format!("listen: {}: {e}", config.listen))?;
     let kill_after = shutdown::kill_after(&config.settings);
     let classes = Classes::new(config.dialect.clone(), config.settings.classes.clone());
--- a/crates/roseproxy/src/startup.rs
+++ b/crates/roseproxy/src/startup.rs
@@ -22,25 +22,34 @@
     error.raw_os_error().is_some_and(|number| passing.contains(&number))
 }
 
-/// Tries until it succeeds, fails for good (`passing` says of an error that it is not), or has been tried long enough;
-/// says so once.
+/// How often a start tries again after this error.
+pub fn tries(error: &io::Error) -> u32 {
+    if passes(error) {
+        MOST_TRIES
+    } else {
+        0
+    }
+}
+
+/// Tries until it succeeds, or has been tried as often as `tries` says of its error; says so once.
 pub async fn patiently<T, E: Display, F: Future<Output = Result<T, E>>>(
     say: &dyn Fn(&str),
-    passing: impl Fn(&E) -> bool,
+    tries: impl Fn(&E) -> u32,
     attempt: impl Fn() -> F,
 ) -> Result<T, E> {
-    for tried in 0..MOST_TRIES {
+    let mut tried = 0;
+    loop {
         match attempt().await {
-            Err(e) if passing(&e) => {
+            Err(e) if tried < tries(&e) => {
                 if tried == 0 {
                     say(&format!("start waits: {e}"));
                 }
+                tried += 1;
                 tokio::time::sleep(Duration::from_secs_f64(RETRY / 1e3)).await;
             }
             done => return done,
         }
     }
-    attempt().await
 }
 
 /// Waits until the runtime finds the descriptors that it needs: it ends the process where they are short, and nothing can be
--- a/crates/roseproxy/tests/sockets.rs
+++ b/crates/roseproxy/tests/sockets.rs
@@ -273,8 +273,8 @@
     });
 }
 
-/// Discovery: the whole list first, then a watch from its version; a watch that breaks is taken up
-/// again from the last version, and what is no list in between changes nothing.
+/// Discovery: the whole list first, then a watch from its version; a watch that breaks is taken up again from the last
+/// version. Where something could not be read that is the one before, and what came behind it holds all the same.
 #[test]
 fn the_watch_resumes_by_index() {
     scene(async {
@@ -300,9 +300,15 @@
         drop(stream);
         let (mut stream, _) = socket.accept().await.expect("it comes again");
         let watch = message(&mut stream).await.expect("a request");
-        assert!(watch.starts_with("GET /registry/instances?stream=1&index=43 HTTP/1.1\r\n"), "{watch}");
+        assert!(watch.starts_with("GET /registry/instances?stream=1&index=41 HTTP/1.1\r\n"), "{watch}");
         assert!(!sidecar.gateway.can_serve());
         assert!(sidecar.gateway.counts().contains(&("lists_unread".into(), 1)));
+        let text = format!("{chunked}{:x}\r\n{change}\n\r\n", change.len() + 1);
+        stream.write_all(text.as_bytes()).await.expect("written");
+        drop(stream);
+        let (mut stream, _) = socket.accept().await.expect("it comes again");
+        let watch = message(&mut stream).await.expect("a request");
+        assert!(watch.starts_with("GET /registry/instances?stream=1&index=43 HTTP/1.1\r\n"), "{watch}");
         // Knowing nothing of that version, discovery is asked for the whole list again.
         stream.write_all(b"HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n").await.expect("written");
         let (mut stream, _) = socket.accept().await.expect("it comes again");
--- a/crates/routing/src/discovery.rs
+++ b/crates/routing/src/discovery.rs
@@ -216,9 +216,9 @@
         self.change_lease(now, |lease| lease.moved(now));
     }
 
-    /// The watch fell silent and is opened anew without a pause; the list in hand stays.
-    pub fn watch_reopened(&mut self, now: f64) {
-        self.book.call_ended(CallEnd::WatchSilent);
+    /// The watch ended so, and is opened anew without a pause; the list in hand stays.
+    pub fn watch_reopened(&mut self, now: f64, end: CallEnd) {
+        self.book.call_ended(end);
         self.tell(now, Event::Servers { update: Update::Reopened, servers: &[] });
     }
 }
--- a/crates/transport/src/discovery.rs
+++ b/crates/transport/src/discovery.rs
@@ -24,6 +24,8 @@
 const ANSWER: f64 = 3_000.0;
 /// A watch beats every 2 s; without a line, or with an object that does not end, for this long it is dead (ms).
 const SILENCE: f64 = 3_000.0;
+/// A watch that was open for so long may be opened anew without a pause where it told what cannot be read (ms).
+const WELL_FOR: f64 = 4_500.0;
 /// Longest list that is read (bytes): three times that of the largest fleets, indented; against one without end.
 const LONGEST_LIST: usize = 4 << 20;
 
@@ -37,6 +39,8 @@
     revision: Option<u64>,
     /// The version of the list taken last, whoever it came from.
     last: u64,
+    /// The version for which the whole list was asked for, as an entry could not be read.
+    asked_again: Option<u64>,
     /// When the process began (ms): what changed before may count as told from then on.
     began: f64,
 }
@@ -51,7 +55,7 @@
         let last = known.unwrap_or(0);
         gateway.set_revision(last);
         let began = gateway.now();
-        Watcher { gateway, address, revision: known, last, began }
+        Watcher { gateway, address, revision: known, last, asked_again: None, began }
     }
 
     /// The same for a process that began earlier, at this time (ms).
@@ -95,11 +99,13 @@
                 end = self.watch(address, began) => {
                     let after = self.gateway.now() - began;
                     self.gateway.discovery_event(DiscoveryEvent::CallEnded(end, after));
-                    if end != CallEnd::WatchSilent {
+                    // What could not be read is told again from the revision in hand; once is cheap for discovery.
+                    let spoilt_once = end == CallEnd::Unreadable && after >= WELL_FOR && self.revision.is_some();
+                    if end != CallEnd::WatchSilent && !spoilt_once {
                         return end;
                     }
                     self.gateway.forget_watch_wish();
-                    self.gateway.watch_reopened();
+                    self.gateway.watch_reopened(end);
                 }
                 // Another discovery may count its versions otherwise: the whole list is asked for.
                 () = moved(&mut moves) => {
@@ -156,7 +162,7 @@
         let fetch = connection.exchange_up_to(Outgoing::get(discovery::LIST, host), LONGEST_LIST);
         let answer = tokio::time::timeout(length(ANSWER), fetch).await;
         match answer.map_err(|_| CallEnd::NoAnswer)? {
-            Exchange::Answered(StatusCode::OK, _, body) => self.take(&body),
+            Exchange::Answered(StatusCode::OK, _, body) => self.take(&body)?,
             Exchange::Answered(..) => return Err(CallEnd::TurnedAway),
             Exchange::Broke { .. } => return Err(CallEnd::Broken),
         }
@@ -175,14 +181,26 @@
             };
             let Some(Ok(frame)) = frame else { return CallEnd::WatchEnded };
             let Ok(data) = frame.into_data() else { continue };
+            // The version to go on from, where something is missing behind it.
+            let mut complete_up_to: Option<Option<u64>> = None;
             decoder.take(&data, |frame| {
                 match frame {
                     WatchFrame::Partial => return,
                     WatchFrame::Heartbeat => self.gateway.list_confirmed(),
-                    WatchFrame::Object(text) => self.take(&text),
+                    WatchFrame::Object(text) => {
+                        if self.take(&text).is_err() {
+                            let before = complete_up_to.unwrap_or(self.revision);
+                            complete_up_to = Some(self.revision.and(before));
+                        }
+                    }
                 }
                 alive = self.gateway.now();
             });
+            // What came behind it holds, but its version would hide that something is missing.
+            if let Some(revision) = complete_up_to {
+                self.revision = revision;
+                return CallEnd::Unreadable;
+            }
             if decoder.held() > LONGEST_LIST {
                 count(&self.gateway.traffic.bad_lists);
                 return CallEnd::Unreadable;
@@ -190,8 +208,9 @@
         }
     }
 
-    /// Takes over a list; what cannot be read is counted, and the list in hand stays.
-    fn take(&mut self, text: &[u8]) {
+    /// Takes over a list. What cannot be read is counted, and has to be asked for again: the list in hand stays, but it is
+    /// known to lack something.
+    fn take(&mut self, text: &[u8]) -> Result<(), CallEnd> {
         let traffic = &self.gateway.traffic;
         let began = self.gateway.now();
         let listing = discovery::read(text);
@@ -210,13 +229,25 @@
                 // Before what waits for a list is sent by it.
                 self.gateway.list_confirmed();
                 self.gateway.listed(update, targets, behind);
+                self.check_unread(unread)
             }
             Err(reason) => {
                 count(&traffic.bad_lists);
                 self.gateway.record(EventKind::BadList(reason.into()));
+                Err(CallEnd::Unreadable)
             }
         }
     }
+
+    /// Where entries could not be read, the whole list is asked for: once for each version, as they may not be readable in
+    /// that either.
+    fn check_unread(&mut self, unread: usize) -> Result<(), CallEnd> {
+        if unread == 0 || self.asked_again == Some(self.last) {
+            return Ok(());
+        }
+        (self.asked_again, self.revision) = (Some(self.last), None);
+        Err(CallEnd::Unreadable)
+    }
 }
 
 /// Waits for another address; for ever where none can come any more.
--- a/crates/transport/src/gateway.rs
+++ b/crates/transport/src/gateway.rs
@@ -215,9 +215,9 @@
         self.settle();
     }
 
-    /// The watch fell silent and is opened anew.
-    pub(super) fn watch_reopened(self: &Rc<Self>) {
-        self.host.borrow_mut().watch_reopened(self.now());
+    /// The watch ended so, and is opened anew without a pause.
+    pub(super) fn watch_reopened(self: &Rc<Self>, end: CallEnd) {
+        self.host.borrow_mut().watch_reopened(self.now(), end);
         self.settle();
     }
 
