--- a/crates/fleet/src/list_lease.rs
+++ b/crates/fleet/src/list_lease.rs
@@ -11,6 +11,16 @@
 /// have met a crowd, and applications are not served yet.
 const START_PATIENCE: f64 = 5_000.0;
 
+/// What the settings say of a list's lease.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct LeaseTerms {
+    /// How long after word of a drain sends may go on (ms).
+    pub grace: f64,
+    /// How long after a watch has ended a change counts as told (ms): the time in which an instance without a watch must ask,
+    /// or nothing where an agent of the own machine pushes lists. Never more than the term that holds for all.
+    pub unwatched: f64,
+}
+
 /// How a call to discovery failed, as far as that tells whether it is there.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Failure {
@@ -34,10 +44,8 @@
 /// The lease of the list in hand.
 #[derive(Clone, Debug)]
 pub struct ListLease {
-    /// Whether lists are pushed by an agent of the own machine: what that has counts as told at once.
-    pushed: bool,
-    /// How long after word of a drain sends may go on (ms).
     grace: f64,
+    unwatched: f64,
     began: f64,
     confirmed_at: Option<f64>,
     term: Term,
@@ -48,9 +56,10 @@
 impl ListLease {
     /// The lease of a list that was kept from before a start. What changed meanwhile may count as told already, so that it
     /// lasts no longer than the grace.
-    pub fn of_kept_list(began: f64, grace: f64, pushed: bool) -> ListLease {
+    pub fn of_kept_list(began: f64, terms: LeaseTerms) -> ListLease {
+        let (grace, unwatched) = (terms.grace, terms.unwatched.clamp(0.0, TOLD_WITHIN));
         let term = Term::Until(began + grace);
-        ListLease { pushed, grace, began, confirmed_at: None, term, start_failed: false }
+        ListLease { grace, unwatched, began, confirmed_at: None, term, start_failed: false }
     }
 
     /// Discovery has told of a change, or that there is none.
@@ -69,8 +78,7 @@
     /// A call has failed, or a watch has ended.
     pub fn failed(&mut self, now: f64, failure: Failure) {
         match failure {
-            Failure::WatchEnded if self.pushed => self.shorten_to(now + self.grace),
-            Failure::WatchEnded => {}
+            Failure::WatchEnded => self.shorten_to(now + self.unwatched + self.grace),
             Failure::Unreachable => self.term = Term::WhileAway,
             Failure::Unanswered if self.confirmed_at.is_some() || self.patience_is_over(now) => {
                 self.term = Term::WhileAway;
--- a/crates/fleet/tests/list_lease.rs
+++ b/crates/fleet/tests/list_lease.rs
@@ -1,13 +1,18 @@
 //! How long a list may be acted on: after a start, while it is watched, and while discovery is away.
 
-use roseproxy_fleet::list_lease::{Failure, ListLease};
+use roseproxy_fleet::list_lease::{Failure, LeaseTerms, ListLease};
 
 const GRACE: f64 = 750.0;
 const BEGAN: f64 = 1_000_000.0;
 const TOLD_WITHIN: f64 = 6_000.0;
 
+/// A lease where an instance without a watch must ask within this time (ms).
+fn kept_where(unwatched: f64) -> ListLease {
+    ListLease::of_kept_list(BEGAN, LeaseTerms { grace: GRACE, unwatched })
+}
+
 fn kept() -> ListLease {
-    ListLease::of_kept_list(BEGAN, GRACE, false)
+    kept_where(10_000.0)
 }
 
 fn confirmed() -> ListLease {
@@ -87,10 +92,21 @@
     assert_eq!(away.expires_at(), Some(BEGAN + 1_000.0 + 4_000.0 + GRACE));
 }
 
+/// A change counts as told within the time for asking, where that is shorter than the term.
+#[test]
+fn a_watch_that_ends_leaves_the_time_for_asking() {
+    for (ask_within, left) in [(2_000.0, 2_000.0), (60_000.0, TOLD_WITHIN), (-1.0, 0.0)] {
+        let mut lease = kept_where(ask_within);
+        lease.confirmed(BEGAN);
+        lease.failed(BEGAN, Failure::WatchEnded);
+        assert_eq!(lease.expires_at(), Some(BEGAN + left + GRACE), "{ask_within}");
+    }
+}
+
 /// What the agent of the own machine has counts as told at once, also when its watch has ended.
 #[test]
 fn a_watch_on_an_agent_that_ends_leaves_the_grace() {
-    let mut pushed = ListLease::of_kept_list(BEGAN, GRACE, true);
+    let mut pushed = kept_where(0.0);
     pushed.confirmed(BEGAN);
     assert_eq!(
         pushed.expires_at(),
--- a/crates/routing/src/discovery.rs
+++ b/crates/routing/src/discovery.rs
@@ -4,7 +4,7 @@
 use super::timers::Due;
 use super::{time, EventKind, Host};
 use roseproxy_decision::interface::{Event, Update};
-use roseproxy_fleet::list_lease::{Failure, ListLease};
+use roseproxy_fleet::list_lease::{Failure, LeaseTerms, ListLease};
 use std::fmt;
 
 /// How a call to discovery, or the watch that it opened, ended.
@@ -130,8 +130,10 @@
     /// From now on discovery is followed: the list in hand is one that was kept from before the start, at this time. Without
     /// this, whoever gives the list answers for its age.
     pub fn follow_discovery(&mut self, now: f64, began: f64) {
-        let grace = self.notice_grace();
-        self.lease = Some(ListLease::of_kept_list(began, grace, !self.settings.must_subscribe));
+        let asked = self.settings.must_subscribe;
+        let unwatched = if asked { time::to_millis(self.settings.ask_within) } else { 0.0 };
+        let terms = LeaseTerms { grace: self.notice_grace(), unwatched };
+        self.lease = Some(ListLease::of_kept_list(began, terms));
         self.watch_lease(now);
     }
 
