Count a sidecar's part of a cold server's budget in large fleets too, from four calls on

Change: SlowStart::allows keeps to the counted part where that is four calls or more, whatever size is stated.

--- a/crates/fleet/src/slow_start.rs
+++ b/crates/fleet/src/slow_start.rs
@@ -20,6 +20,9 @@
 /// are rough, and what few warm servers serve is no mean.
 const CAUTION: f64 = 0.65;
 const CHANCE: f64 = 0.5;
+/// Calls from which on a sidecar's part of a budget is counted in a large fleet too. Of fewer, counting would cut off what
+/// chance brings to one sidecar and not to another.
+const COUNTED: f64 = 4.0;
 /// Servers whose calls are remembered before those are forgotten that got none within the span.
 const MOST: usize = 64;
 
@@ -168,12 +171,13 @@
     }
 
     /// Whether a server of this warmth and power may be sent one more call within this sidecar's part of its budget. In
-    /// a large fleet that part is less than a call, and only [`SlowStart::share`] bounds it, in the mean over all.
+    /// a large fleet that part is a call or so, and only [`SlowStart::share`] bounds it, in the mean over all.
     pub fn allows(&mut self, now: i64, server: u64, warmth: f64, power: f64) -> bool {
-        if crate::sight(self.sidecars as usize) < 1.0 {
+        let own = CAUTION * self.part(warmth, power);
+        // Whatever size is stated: few that are left of a large fleet carry its traffic, and the means of all add up.
+        if own < COUNTED && crate::sight(self.sidecars as usize) < 1.0 {
             return true;
         }
-        let own = CAUTION * self.part(warmth, power);
         let budget = own + CHANCE * chance(own * self.sidecars) / self.sidecars;
         self.fits(now, server, warmth, budget.max(1.0))
     }
