--- a/crates/soak/src/client.rs
+++ b/crates/soak/src/client.rs
@@ -138,6 +138,8 @@
         if self.conduct.borrow().open_only && self.idle.borrow().is_empty() {
             return;
         }
+        // As it is when the request is made: the process may end, and the next one be there, before its end is seen.
+        let open_only = self.conduct.borrow().open_only;
         let request = self.request();
         let mut sent = now();
         let mut end = End::Unreachable;
@@ -153,7 +155,7 @@
             match &end {
                 // A close that crossed the request: it is sent once more on another connection.
                 End::Cut { partial: false, new_connection: false } if now() - sent < CROSSES => {
-                    if self.conduct.borrow().open_only {
+                    if open_only {
                         end = End::Crossed;
                         break;
                     }
