--- a/crates/roseproxy/tests/discovery_outage.rs
+++ b/crates/roseproxy/tests/discovery_outage.rs
@@ -7,11 +7,14 @@
 use common::*;
 use roseproxy::Clock;
 use roseproxy_routing::Host;
-use roseproxy_transport::network::Network;
+use roseproxy_transport::discovery::Watcher;
+use roseproxy_transport::network::{Network, Tcp};
 use roseproxy_transport::Gateway;
 use serde_json::json;
 use std::rc::Rc;
 use std::time::Duration;
+use tokio::sync::watch;
+use tokio::task::spawn_local;
 use tokio::time::{sleep, Instant};
 
 /// Sizes that the settings state.
@@ -214,3 +217,26 @@
         }
     }
 }
+
+/// What discovery has to tell counts as told 4 s after a new configuration. Where it is moved while no call is out, as
+/// after one that failed, and the new one takes the call and says nothing, the list in hand is not used for longer.
+#[test]
+fn a_move_between_calls_ends_what_an_absence_allowed() {
+    timeless(async {
+        let (hangs, address) = port().await;
+        let (_, away) = port().await;
+        let config = config_with(|s| s["obligations"]["must_ask_in"] = json!(10_000_000));
+        let clock = Clock::system();
+        let host = Host::new(config.settings.clone(), 3, clock.now());
+        let gateway = gateway_of(Tcp, host, config, &clock, &[address], 20);
+        let (moves, follows) = watch::channel(away);
+        spawn_local(Watcher::new(gateway.clone(), follows, Some(1)).run());
+        until("discovery is away", || of(&gateway, "discovery_call_ended_unreachable") > 0).await;
+        sleep(Duration::from_secs(10)).await;
+        assert!(gateway.can_serve(), "the service goes on in an absence");
+        moves.send_replace(address);
+        let (_open, _) = hangs.accept().await.expect("the sidecar connects");
+        sleep(Duration::from_millis(4_000 + 750)).await;
+        assert!(!gateway.can_serve(), "by a list of before the move");
+    });
+}
