A move of discovery ends what an absence allowed, also between two calls

Cause: only a move that ended a call or a watch shortened the lease of the list, and what was known of the discovery before counted for the one after it. The test lets the first discovery confirm the list before it goes away (before, it asked a sidecar that had never heard of any, which counts as started before an absence); it fails without this change and passes with it.

--- a/crates/fleet/src/list_lease.rs
+++ b/crates/fleet/src/list_lease.rs
@@ -93,8 +93,9 @@
         }
     }
 
-    /// Another discovery is to be asked from now on.
+    /// Another discovery is to be asked from now on: that the one before was away tells nothing of it.
     pub fn moved(&mut self, now: f64) {
+        (self.start_failed, self.unheard) = (false, false);
         self.shorten_to(now + TOLD_AFTER_MOVE + self.grace);
     }
 
--- a/crates/roseproxy/tests/discovery_outage.rs
+++ b/crates/roseproxy/tests/discovery_outage.rs
@@ -224,13 +224,17 @@
 fn a_move_between_calls_ends_what_an_absence_allowed() {
     timeless(async {
         let (hangs, address) = port().await;
-        let (_, away) = port().await;
+        let (first, away) = port().await;
         let config = config_with(|s| s["obligations"]["must_ask_in"] = json!(10_000_000));
         let clock = Clock::system();
         let host = Host::new(config.settings.clone(), 3, clock.now());
         let gateway = gateway_of(Tcp, host, config, &clock, &[address], 20);
         let (moves, follows) = watch::channel(away);
         spawn_local(Watcher::new(gateway.clone(), follows, Some(1)).run());
+        let mut stream = open_watch(&first).await;
+        chunk(&mut stream, &(list(2, false, &[(address, "in_service")]) + "\n")).await.expect("read");
+        until("the list is confirmed", || gateway.can_serve()).await;
+        drop((stream, first));
         until("discovery is away", || of(&gateway, "discovery_call_ended_unreachable") > 0).await;
         sleep(Duration::from_secs(10)).await;
         assert!(gateway.can_serve(), "the service goes on in an absence");
--- a/crates/routing/src/discovery.rs
+++ b/crates/routing/src/discovery.rs
@@ -211,9 +211,11 @@
         self.tell(now, Event::Servers { update: Update::Failed, servers: &[] });
     }
 
-    /// Discovery was moved while a call or a watch was open.
-    pub fn discovery_moved(&mut self, now: f64) {
-        self.book.call_ended(CallEnd::Moved);
+    /// Discovery was moved; `calling` is whether a call or a watch was open, which has ended by that.
+    pub fn discovery_moved(&mut self, now: f64, calling: bool) {
+        if calling {
+            self.book.call_ended(CallEnd::Moved);
+        }
         self.change_lease(now, |lease| lease.moved(now));
     }
 
--- a/crates/routing/tests/list_lease.rs
+++ b/crates/routing/tests/list_lease.rs
@@ -154,7 +154,7 @@
 fn a_move_that_is_not_answered_ends_the_lease() {
     let mut host = host(false);
     host.list_confirmed(BEGAN);
-    host.discovery_moved(BEGAN + 1_000.0);
+    host.discovery_moved(BEGAN + 1_000.0, true);
     let end = BEGAN + 1_000.0 + 4_000.0 + GRACE;
     assert!(host.can_serve(end - 1.0) && !host.can_serve(end));
     host.list_confirmed(end);
--- a/crates/transport/src/discovery.rs
+++ b/crates/transport/src/discovery.rs
@@ -75,7 +75,10 @@
             tokio::select! {
                 biased;
                 () = self.gateway.watch_wanted() => {}
-                () = moved(&mut moves) => self.revision = None,
+                () = moved(&mut moves) => {
+                    self.gateway.discovery_moved(false);
+                    self.revision = None;
+                }
             }
             let end = self.watch_until_failure().await;
             // A wish from before this failure was met by the watch that has just ended: what it left behind would
@@ -111,7 +114,7 @@
                 () = moved(&mut moves) => {
                     let after = self.gateway.now() - began;
                     self.gateway.discovery_event(DiscoveryEvent::CallEnded(CallEnd::Moved, after));
-                    self.gateway.discovery_moved();
+                    self.gateway.discovery_moved(true);
                     self.revision = None;
                 }
             }
--- a/crates/transport/src/gateway.rs
+++ b/crates/transport/src/gateway.rs
@@ -209,9 +209,9 @@
         self.settle();
     }
 
-    /// Discovery was moved while a call or a watch was open.
-    pub(super) fn discovery_moved(self: &Rc<Self>) {
-        self.host.borrow_mut().discovery_moved(self.now());
+    /// Discovery was moved; `calling` is whether a call or a watch was open.
+    pub(super) fn discovery_moved(self: &Rc<Self>, calling: bool) {
+        self.host.borrow_mut().discovery_moved(self.now(), calling);
         self.settle();
     }
 
