--- a/review/2/case.py
+++ b/review/2/case.py
@@ -10,7 +10,7 @@
 
 SIDECARS, SERVERS, ZONES = 4, 9, "abc"
 # The least number of descriptors that the pages give a sidecar, and connections "by hundreds".
-DESCRIPTORS, BAD_CLIENTS = 256, 100
+DESCRIPTORS, BAD_CLIENTS = 256, 120
 SECONDS = 8.0
 
 
