Show what client sockets are used for when a client waits, in modules of their own

Whether the clients waited for a socket, and whether idle connections, partial requests or requests being served held the sockets, could not be told.

Change: counters clients_waited and clients_longest_wait_ms, and the event client_waits with the use of all sockets, 100 ms into a wait and at most once in 30 s, as notable events share a limit of 100 lines in ten minutes. The record of a connection and the table of all of them move from the listener to client_slot.rs and client_slots.rs; the tests of request_framing.rs move to a test file. What is accepted, read and closed is as before.

Tests of roseproxy, transport and routing pass.

--- a/crates/routing/src/event_log.rs
+++ b/crates/routing/src/event_log.rs
@@ -146,6 +146,19 @@
     (CloseReason::Stalled, "stalled"),
 ];
 
+/// How many client sockets are in use, by what they are used for.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct SocketUse {
+    /// Connections on which nothing has been received.
+    pub silent: usize,
+    /// Connections between requests.
+    pub idle: usize,
+    /// Connections with a request that has arrived in part.
+    pub receiving: usize,
+    /// Connections whose request is being processed or whose answer is being written.
+    pub answering: usize,
+}
+
 /// An event.
 #[derive(Clone, Debug, PartialEq)]
 pub enum EventKind {
@@ -205,6 +218,8 @@
     ClientLeft,
     /// A client's connection was closed.
     Closed(CloseReason),
+    /// A client has waited for long because all client sockets are in use.
+    ClientWaits(SocketUse),
     /// An endpoint's state changed.
     Endpoint {
         /// The endpoint.
@@ -233,10 +248,16 @@
 }
 
 impl EventKind {
-    /// Whether an operator should see the event whatever else is printed: faults, and changes in
-    /// what the sidecar knows from discovery.
+    /// Whether an operator should see the event whatever else is printed: faults, shortages, and
+    /// changes in what the sidecar knows from discovery.
     fn notable(&self) -> bool {
-        matches!(self, EventKind::BadList(_) | EventKind::Violated(_) | EventKind::Discovery(_))
+        matches!(
+            self,
+            EventKind::BadList(_)
+                | EventKind::Violated(_)
+                | EventKind::Discovery(_)
+                | EventKind::ClientWaits(_)
+        )
     }
 }
 
@@ -277,6 +298,12 @@
             EventKind::Failed => write!(f, " failed"),
             EventKind::ClientLeft => write!(f, " client_left"),
             EventKind::Closed(reason) => write!(f, " connection_closed reason={reason:?}"),
+            EventKind::ClientWaits(SocketUse { silent, idle, receiving, answering }) => {
+                write!(
+                    f,
+                    " client_waits silent={silent} idle={idle} receiving={receiving} answering={answering}"
+                )
+            }
             EventKind::Endpoint { endpoint, readiness } => {
                 write!(f, " endpoint={:016x} state={readiness:?}", endpoint.0)
             }
--- a/crates/transport/src/counters.rs
+++ b/crates/transport/src/counters.rs
@@ -9,6 +9,10 @@
 pub struct Counters {
     /// Client connections accepted, including those that still wait for a free socket.
     pub clients_accepted: Cell<u64>,
+    /// Client connections that had to wait for a free socket after they were accepted.
+    pub clients_waited: Cell<u64>,
+    /// The longest that any of those may have waited for its socket since its client connected (ms).
+    pub clients_longest_wait_ms: Cell<u64>,
     /// Accepts that failed, for example because descriptors ran out.
     pub accept_errors: Cell<u64>,
     /// Client connections closed with an incomplete request, or without a first request in time.
@@ -36,6 +40,12 @@
 }
 
 impl Counters {
+    /// Counts a client connection that has got a socket after waiting for one.
+    pub(super) fn count_wait(&self, waited_ms: f64) {
+        increment(&self.clients_waited);
+        self.clients_longest_wait_ms.set(self.clients_longest_wait_ms.get().max(waited_ms as u64));
+    }
+
     /// Counts a closed client connection.
     pub(super) fn count_close(&self, reason: CloseReason) {
         labels::increment(&mut *self.clients_closed_by.borrow_mut(), &CLOSE_REASONS, reason);
@@ -45,6 +55,8 @@
     pub(super) fn named_counts(&self) -> Vec<(String, u64)> {
         let counts = [
             ("clients_accepted", &self.clients_accepted),
+            ("clients_waited", &self.clients_waited),
+            ("clients_longest_wait_ms", &self.clients_longest_wait_ms),
             ("accept_errors", &self.accept_errors),
             ("requests_late", &self.requests_late),
             ("clients_closed_idle", &self.clients_closed_idle),
--- a/crates/transport/src/lib.rs
+++ b/crates/transport/src/lib.rs
@@ -14,6 +14,8 @@
 mod acceptor;
 mod attempt;
 pub mod budget;
+mod client_slot;
+mod client_slots;
 mod client_stream;
 pub mod connection;
 pub mod connector;
@@ -25,7 +27,7 @@
 pub mod listener;
 pub mod network;
 pub mod pool;
-mod request_framing;
+pub mod request_framing;
 mod retrying_stream;
 mod tap;
 mod write_progress;
--- a/crates/transport/src/listener.rs
+++ b/crates/transport/src/listener.rs
@@ -2,12 +2,14 @@
 
 use super::acceptor::{AcceptedClient, Acceptor};
 use super::budget::{Budget, Permit};
+use super::client_slot::{ClientSlot, REQUEST_TIMEOUT_MS};
+use super::client_slots::{ClientSlots, FIRST_REQUEST_GRACE_MS};
 use super::client_stream::ClientStream;
 use super::counters::increment;
 use super::event_loop_lag::{EventLoopLag, TICK_PERIOD_MS};
 use super::gateway::Gateway;
-use super::network::{Network, Peek, PeekResult};
-use super::request_framing::{Framing, IncomingRequest, RequestTap};
+use super::network::Network;
+use super::request_framing::{Framing, RequestTap};
 use super::retrying_stream::RetryingStream;
 use super::tap::TappedStream;
 use super::{duration_from_ms, AbortOnDrop};
@@ -21,20 +23,14 @@
 use roseproxy_platform::answer::{malformed_request, plain_text, set_connection_close, to_reply, Reply};
 use roseproxy_platform::request::{exceeds_body_limit, ForwardedRequest, Malformed};
 use roseproxy_platform::MAX_BODY_BYTES;
-use roseproxy_routing::event_log::CloseReason;
+use roseproxy_routing::event_log::{CloseReason, EventKind};
 use roseproxy_routing::flow::FlowId;
-use std::cell::{Cell, RefCell};
-use std::collections::BTreeMap;
+use std::cell::Cell;
 use std::convert::Infallible;
 use std::pin::pin;
 use std::rc::Rc;
-use tokio::sync::Notify;
 
-/// Time within which a request must be complete after its first byte, and the first request of a
-/// connection after its client connected. Guards against clients that hold a connection with an
-/// incomplete request or with none. The platform's slowest usual client gives a request up sooner.
-const REQUEST_TIMEOUT_MS: f64 = 2_500.0;
-/// Minimum of that time left for the body if the head arrived late.
+/// Minimum of a request's time left for its body if the head arrived late.
 const MIN_BODY_TIMEOUT_MS: f64 = 250.0;
 /// Idle time between requests after which a connection is closed, while more than half of the
 /// client sockets are in use.
@@ -43,14 +39,12 @@
 /// for a while should not be closed under its next request; but some clients keep connections and
 /// never send on them again.
 const IDLE_TIMEOUT_MS: f64 = 90_000.0;
-/// Minimum age at which a connection without any request so far may be closed to free its socket or
-/// at shutdown: its first request may be in transit.
-const FIRST_REQUEST_GRACE_MS: f64 = 300.0;
 /// How long input is still read and discarded after the last answer.
 const LINGER_TIMEOUT_MS: f64 = 300.0;
-/// How long a client may accept no bytes of an answer before its connection is closed, since it
-/// holds a socket for nothing. The client can tell that the answer is incomplete.
-const ANSWER_STALL_TIMEOUT_MS: f64 = 5_000.0;
+/// How long a client has waited for a socket when that is recorded.
+const LONG_WAIT_MS: f64 = 100.0;
+/// Shortest time between two such records, which share the log's limit of lines with others.
+const LONG_WAIT_RECORD_PERIOD_MS: f64 = 30_000.0;
 /// Longest request head that is read; a larger one gets a 431.
 const MAX_HEAD_BYTES: usize = 16 * 1024;
 
@@ -66,84 +60,14 @@
     Closing,
 }
 
-/// The listener's record of a client connection.
-#[derive(Debug, Default)]
-struct ConnectionSlot {
-    /// Since when no request is in progress (ms); `None` during a request.
-    idle_since: Cell<Option<f64>>,
-    /// Since when answer bytes have been waiting to be written (ms): an answer handed to hyper is
-    /// not yet sent.
-    write_blocked_since: Rc<Cell<Option<f64>>>,
-    /// The earliest time at which the client may have connected (ms).
-    earliest_connect_at: Cell<f64>,
-    /// How long the first input may have waited to be read (ms): the client's time limit is already
-    /// reduced by that much.
-    read_delay: Cell<f64>,
-    /// Whether a complete request head has been received.
-    had_request: Cell<bool>,
-    /// The request being received.
-    incoming: Rc<IncomingRequest>,
-    /// The flow in progress, whose client may leave.
-    open_flow: Cell<Option<FlowId>>,
-    /// Whether to close the connection as soon as it is unused, or after the next answer.
-    close_requested: Cell<bool>,
-    /// Whether unread bytes may be left after the last answer.
-    may_have_unread_input: Cell<bool>,
-    /// Whether the answer given is the last on this connection.
-    last_answer_given: Cell<bool>,
-    /// Notifies the connection's own task to check whether the connection should end. The task checks
-    /// again because the condition that caused the notification may no longer hold.
-    recheck: Notify,
-}
-
-impl ConnectionSlot {
-    /// Since when the connection has been idle: no request in progress, not even a partial one, and
-    /// no answer left to write.
-    fn fully_idle_since(&self) -> Option<f64> {
-        let busy = self.incoming.started_at().is_some() || self.write_blocked_since.get().is_some();
-        self.idle_since.get().filter(|_| !busy)
-    }
-
-    /// Whether a request has taken too long to arrive completely, or the first one to arrive at
-    /// all.
-    fn request_overdue(&self, now: f64) -> bool {
-        let Some(since) = self.idle_since.get() else { return false };
-        let started_at = if self.had_request.get() {
-            self.incoming.started_at()
-        } else {
-            Some(self.earliest_connect_at.get().min(since))
-        };
-        started_at.is_some_and(|started_at| now - started_at >= REQUEST_TIMEOUT_MS)
-    }
-
-    /// Whether the client has accepted no answer bytes for too long.
-    fn answer_stalled(&self, now: f64) -> bool {
-        self.write_blocked_since.get().is_some_and(|since| now - since >= ANSWER_STALL_TIMEOUT_MS)
-    }
-
-    /// Closes the connection as soon as it is unused.
-    fn request_close(&self) {
-        self.close_requested.set(true);
-        self.recheck.notify_one();
-    }
-
-    /// Waits until this connection's socket is needed.
-    async fn wait_for_close_request(&self) {
-        while !self.close_requested.get() {
-            self.recheck.notified().await;
-        }
-    }
-}
-
 /// The client side: accepts connections and serves their requests.
 pub struct Listener<N> {
     gateway: Rc<Gateway<N>>,
-    budget: Budget,
-    slots: RefCell<BTreeMap<u64, Rc<ConnectionSlot>>>,
-    last_slot_id: Cell<u64>,
-    slot_freed: Notify,
+    slots: Rc<ClientSlots>,
     phase: Cell<Phase>,
     accepted_at: Cell<f64>,
+    /// When a client's long wait was last recorded (ms).
+    long_wait_recorded_at: Cell<f64>,
     acceptor: Acceptor,
     event_loop_lag: EventLoopLag,
     /// Renders the counters as text.
@@ -156,14 +80,13 @@
         let accepted_at = Cell::new(gateway.now());
         let acceptor = Acceptor::new(gateway.now());
         let event_loop_lag = EventLoopLag::new(gateway.now());
+        let slots = ClientSlots::new(budget, gateway.clock());
         Rc::new(Listener {
             gateway,
-            budget,
-            slots: RefCell::default(),
-            last_slot_id: Cell::new(0),
-            slot_freed: Notify::new(),
+            slots,
             phase: Cell::new(Phase::Open),
             accepted_at,
+            long_wait_recorded_at: Cell::new(f64::NEG_INFINITY),
             acceptor,
             event_loop_lag,
             render_counters: counters,
@@ -197,49 +120,37 @@
         self.accepted_at.set(self.gateway.now());
         // Only after the accept: closing an idle connection in advance, for a client that never
         // comes, would cost another client its connection.
-        let permit = self.acquire_permit().await;
-        let slot_id = self.last_slot_id.get() + 1;
-        self.last_slot_id.set(slot_id);
-        let (slot, now) = (Rc::new(ConnectionSlot::default()), self.gateway.now());
-        slot.idle_since.set(Some(now));
-        slot.earliest_connect_at.set(accepted.earliest_connect_at);
-        // Input that is already there may have been sent as soon as the client connected.
-        let has_input = (accepted.peek)() != PeekResult::Empty;
-        slot.read_delay.set(if has_input { (now - accepted.earliest_connect_at).max(0.0) } else { 0.0 });
-        self.slots.borrow_mut().insert(slot_id, slot.clone());
+        let permit = self.acquire_permit(accepted.earliest_connect_at).await;
+        let slot = ClientSlot::new(accepted.peek, accepted.earliest_connect_at, self.gateway.now());
+        let occupied = self.slots.occupy(slot, permit);
         tokio::task::spawn_local(async move {
-            self.serve(&slot, accepted.stream, accepted.peek).await;
-            self.slots.borrow_mut().remove(&slot_id);
-            drop(permit);
-            self.slot_freed.notify_one();
+            self.serve(&occupied.slot, accepted.stream).await;
         });
     }
 
-    /// Acquires a permit for one more connection. While none is left, closes the connection that
-    /// has been idle longest.
-    async fn acquire_permit(&self) -> Permit {
-        loop {
-            if let Some(permit) = self.budget.try_acquire() {
-                return permit;
-            }
-            self.close_longest_idle();
-            // The chosen connection may have received a request at this very moment; the next round
-            // picks another.
-            let _ = tokio::time::timeout(duration_from_ms(TICK_PERIOD_MS), self.slot_freed.notified()).await;
+    /// Acquires a socket for a client that connected at `earliest_connect_at` (ms) or later.
+    async fn acquire_permit(&self, earliest_connect_at: f64) -> Permit {
+        if let Some(permit) = self.slots.try_acquire() {
+            return permit;
         }
+        let mut make_room = pin!(self.slots.make_room());
+        let permit = match tokio::time::timeout(duration_from_ms(LONG_WAIT_MS), &mut make_room).await {
+            Ok(permit) => permit,
+            Err(_) => {
+                self.record_long_wait();
+                make_room.await
+            }
+        };
+        self.gateway.counters.count_wait(self.gateway.now() - earliest_connect_at);
+        permit
     }
 
-    /// Requests the close of an idle connection. Connections that never carried a request go before
-    /// those whose clients may send again. Connections that have only just been opened are spared,
-    /// as their first request may be in transit.
-    fn close_longest_idle(&self) {
-        let (slots, now) = (self.slots.borrow(), self.gateway.now());
-        let idle =
-            slots.values().filter_map(|s| s.fully_idle_since().map(|since| (s.had_request.get(), since, s)));
-        let idle =
-            idle.filter(|(had_request, since, _)| *had_request || now - since >= FIRST_REQUEST_GRACE_MS);
-        if let Some((.., slot)) = idle.min_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1))) {
-            slot.request_close();
+    /// Records what the sockets are used for while a client waits for one, at most once a period.
+    fn record_long_wait(&self) {
+        let now = self.gateway.now();
+        if now - self.long_wait_recorded_at.get() >= LONG_WAIT_RECORD_PERIOD_MS {
+            self.long_wait_recorded_at.set(now);
+            self.gateway.record(EventKind::ClientWaits(self.slots.socket_use()));
         }
     }
 
@@ -249,10 +160,9 @@
             tokio::time::sleep(duration_from_ms(TICK_PERIOD_MS)).await;
             let now = self.gateway.now();
             self.event_loop_lag.tick(now);
-            let slots = self.slots.borrow();
             let idle_timeout_ms =
-                if slots.len() * 2 > self.budget.limit() { CROWDED_IDLE_TIMEOUT_MS } else { IDLE_TIMEOUT_MS };
-            for slot in slots.values() {
+                if self.slots.is_crowded() { CROWDED_IDLE_TIMEOUT_MS } else { IDLE_TIMEOUT_MS };
+            self.slots.for_each(|slot| {
                 let expired = slot.fully_idle_since().is_some_and(|since| now - since >= idle_timeout_ms);
                 if expired && !slot.close_requested.get() {
                     increment(&self.gateway.counters.clients_closed_idle);
@@ -263,14 +173,14 @@
                 {
                     slot.recheck.notify_one();
                 }
-            }
+            });
         }
     }
 
     /// Why a connection ends now, if it does. A request counts as accepted once its last byte has
     /// arrived, whether read or not: a connection may be closed only while nothing is being
     /// answered and nothing waits to be read or written.
-    fn close_reason(&self, slot: &ConnectionSlot, peek: &Peek) -> Option<CloseReason> {
+    fn close_reason(&self, slot: &ClientSlot) -> Option<CloseReason> {
         let now = self.gateway.now();
         if slot.answer_stalled(now) {
             return Some(CloseReason::Stalled);
@@ -278,7 +188,7 @@
         let since = slot
             .idle_since
             .get()
-            .filter(|_| slot.write_blocked_since.get().is_none() && peek() == PeekResult::Empty)?;
+            .filter(|_| slot.write_blocked_since.get().is_none() && slot.input_is_empty())?;
         if slot.request_overdue(now) {
             increment(&self.gateway.counters.requests_late);
             return Some(CloseReason::Late);
@@ -289,14 +199,14 @@
         (slot.fully_idle_since().is_some() && (slot.close_requested.get() || closing)).then_some(reason)
     }
 
-    async fn serve(self: &Rc<Self>, slot: &Rc<ConnectionSlot>, stream: N::AcceptedStream, peek: Peek) {
+    async fn serve(self: &Rc<Self>, slot: &Rc<ClientSlot>, stream: N::AcceptedStream) {
         let tap =
             RequestTap { incoming: slot.incoming.clone(), now: self.gateway.clock(), limit: MAX_HEAD_BYTES };
         let write_blocked_since = slot.write_blocked_since.clone();
         let mut client_stream =
             ClientStream::new(RetryingStream::new(stream), write_blocked_since, self.gateway.clock());
         let stream = TappedStream::new(client_stream.clone(), tap);
-        let service = service_fn(|request| self.clone().handle(slot.clone(), peek.clone(), request));
+        let service = service_fn(|request| self.clone().handle(slot.clone(), request));
         let connection = http1::Builder::new()
             // `enforce_timeouts` applies the time limit: hyper's timeout would also run between
             // requests.
@@ -317,7 +227,7 @@
                         break CloseReason::Departed;
                     }
                     () = slot.recheck.notified() => {
-                        if let Some(reason) = self.close_reason(slot, &peek) {
+                        if let Some(reason) = self.close_reason(slot) {
                             break reason;
                         }
                     }
@@ -338,8 +248,7 @@
 
     async fn handle(
         self: Rc<Self>,
-        slot: Rc<ConnectionSlot>,
-        peek: Peek,
+        slot: Rc<ClientSlot>,
         request: Request<Body>,
     ) -> Result<Reply, Infallible> {
         let started_at =
@@ -361,7 +270,7 @@
             "/health/counters" => plain_text(StatusCode::OK, (self.render_counters)()),
             "/health/events" => plain_text(StatusCode::OK, self.gateway.events()),
             _ => {
-                let flow = self.handle_flow(sent_at, request, &slot, peek).await;
+                let flow = self.handle_flow(sent_at, request, &slot).await;
                 flow.unwrap_or_else(|malformed| self.reject(&slot, malformed))
             }
         };
@@ -378,7 +287,7 @@
         Ok(reply)
     }
 
-    fn reject(&self, slot: &ConnectionSlot, malformed: Malformed) -> Reply {
+    fn reject(&self, slot: &ClientSlot, malformed: Malformed) -> Reply {
         slot.may_have_unread_input.set(true);
         increment(&self.gateway.counters.requests_malformed);
         malformed_request(malformed)
@@ -388,8 +297,7 @@
         &self,
         sent_at: f64,
         request: Request<Body>,
-        slot: &ConnectionSlot,
-        peek: Peek,
+        slot: &ClientSlot,
     ) -> Result<Reply, Malformed> {
         let too_large = Malformed { status: StatusCode::PAYLOAD_TOO_LARGE, reason: "the body is too large" };
         let (parts, body) = request.into_parts();
@@ -413,10 +321,9 @@
             }
         };
         let (id, answer) =
-            self.gateway.start_flow(new, ForwardedRequest::new(&parts, body), peek).ok_or(Malformed {
-                status: StatusCode::CONFLICT,
-                reason: "a request with this Request-Id is open",
-            })?;
+            self.gateway.start_flow(new, ForwardedRequest::new(&parts, body), slot.peek.clone()).ok_or(
+                Malformed { status: StatusCode::CONFLICT, reason: "a request with this Request-Id is open" },
+            )?;
         let guard = FlowGuard { gateway: self.gateway.clone(), id };
         slot.open_flow.set(Some(id));
         // Routing answers every flow that it accepted; a missing answer is a failure all the same.
@@ -430,14 +337,14 @@
     pub fn set_phase(&self, phase: Phase) {
         self.phase.set(phase);
         if phase == Phase::Closing {
-            self.slots.borrow().values().for_each(|s| s.recheck.notify_one());
+            self.slots.for_each(|slot| slot.recheck.notify_one());
         }
     }
 
     /// Whether there is nothing left to do: no open connection, none waiting to be accepted or for
     /// a permit, and none accepted for `millis`.
     pub fn is_idle_for(&self, millis: f64) -> bool {
-        let no_connections = self.acceptor.is_waiting() && self.slots.borrow().is_empty();
+        let no_connections = self.acceptor.is_waiting() && self.slots.is_empty();
         no_connections && self.gateway.now() - self.accepted_at.get() >= millis
     }
 }
--- a/crates/transport/src/request_framing.rs
+++ b/crates/transport/src/request_framing.rs
@@ -11,7 +11,7 @@
 
 /// How a request states where its body ends.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub(super) enum Framing {
+pub enum Framing {
     /// By its length; 0 if none is stated.
     Length(u64),
     /// By chunked or another transfer encoding.
@@ -23,9 +23,11 @@
 
 /// The request being received, tracked as its bytes arrive.
 #[derive(Debug, Default)]
-pub(super) struct IncomingRequest {
+pub struct IncomingRequest {
     /// When the request's first byte arrived.
     started_at: Cell<Option<f64>>,
+    /// When a part of the request last arrived.
+    last_input_at: Cell<Option<f64>>,
     /// The request's head, until it is complete.
     head: RefCell<Vec<u8>>,
     framing: Cell<Option<Framing>>,
@@ -34,11 +36,16 @@
 }
 
 impl IncomingRequest {
-    /// When the current request began to arrive.
+    /// When the current request began to arrive (ms).
     pub fn started_at(&self) -> Option<f64> {
         self.started_at.get()
     }
 
+    /// When a part of the current request last arrived (ms).
+    pub fn last_input_at(&self) -> Option<f64> {
+        self.last_input_at.get()
+    }
+
     /// How the request is framed, once its head is complete.
     pub fn framing(&self) -> Option<Framing> {
         self.framing.get()
@@ -58,12 +65,16 @@
     /// Prepares for the next request.
     pub fn reset(&self) {
         self.started_at.set(None);
+        self.last_input_at.set(None);
         self.head.borrow_mut().clear();
         self.framing.set(None);
         self.bytes_after_head.set(0);
     }
 
-    fn feed(&self, now: f64, bytes: &[u8], limit: usize) {
+    /// Takes bytes that were received at `now` (ms). Of a head no more than `limit` bytes and one are
+    /// kept.
+    pub fn feed(&self, now: f64, bytes: &[u8], limit: usize) {
+        self.last_input_at.set(Some(now));
         if self.framing.get().is_some() {
             return self.bytes_after_head.set(self.bytes_after_head.get() + bytes.len() as u64);
         }
@@ -124,36 +135,3 @@
         self.incoming.feed((self.now)(), bytes, self.limit);
     }
 }
-
-#[cfg(test)]
-mod tests {
-    use super::*;
-
-    #[test]
-    fn head_is_parsed_incrementally_with_hypers_line_endings() {
-        let whole = |text: &str| parse_head(text.as_bytes()).map(|(_, framing)| framing);
-        assert_eq!(whole("POST / HTTP/1.1\r\nContent-Length: 3\r\n"), None);
-        assert_eq!(whole("POST / HTTP/1.1\r\ncontent-LENGTH: 3\r\n\r\nabc"), Some(Framing::Length(3)));
-        assert_eq!(whole("GET / HTTP/1.1\n\n"), Some(Framing::Length(0)));
-        assert_eq!(whole("\r\n\r\nPOST / HTTP/1.1\nTransfer-Encoding: x\n\r\n"), Some(Framing::Chunked));
-        for both in
-            ["Content-Length: 3\r\nTransfer-Encoding: chunked", "Transfer-Encoding:chunked\nContent-Length:3"]
-        {
-            assert_eq!(whole(&format!("POST / HTTP/1.1\r\n{both}\r\n\r\n")), Some(Framing::Both));
-        }
-    }
-
-    #[test]
-    fn bytes_after_a_request_are_detected() {
-        let incoming = IncomingRequest::default();
-        incoming.feed(5.0, b"POST / HTTP/1.1\r\nContent-Length: 3\r\n", 1000);
-        assert_eq!((incoming.started_at(), incoming.framing()), (Some(5.0), None));
-        incoming.feed(6.0, b"\r\nab", 1000);
-        incoming.feed(7.0, b"c", 1000);
-        assert!(incoming.has_no_trailing_bytes() && incoming.started_at() == Some(5.0));
-        incoming.feed(8.0, b"P", 1000);
-        assert!(!incoming.has_no_trailing_bytes());
-        incoming.reset();
-        assert_eq!((incoming.started_at(), incoming.framing()), (None, None));
-    }
-}
