Let 1,024 clients wait to be accepted, where connects beyond 129 were dropped

What callers saw: where hundreds of clients connect at once, the connects of others take 1 s or more and their requests come too late to be served.

Cause: tokio's TcpListener::bind listens with the standard library's backlog of 128. The kernel drops the SYN of every further client until one is accepted, and clients repeat it after 1 s, then after 2 s more.

Change: the socket is made with a queue of 1,024; the system may cap it (net.core.somaxconn). Address reuse stays on.

Tests: hundreds_of_clients_connect_at_once failed before. The tests' sidecars listen through their network, as the program does.

Tests of roseproxy's listener pass.

--- a/crates/roseproxy/tests/common/mod.rs
+++ b/crates/roseproxy/tests/common/mod.rs
@@ -130,8 +130,8 @@
     clients: usize,
     descriptors: usize,
 ) -> Sidecar<N> {
+    let socket = network.listen("127.0.0.1:0".parse().expect("an address")).await.expect("a port");
     let gateway = start_gateway(network, host, config, &clock, targets, descriptors);
-    let socket = TcpListener::bind("127.0.0.1:0").await.expect("a port");
     let address = socket.local_addr().expect("bound");
     let listener = Listener::new(gateway.clone(), Budget::new(clients), Rc::new(|| "flows 0\n".into()));
     spawn_local(listener.clone().run(socket));
--- a/crates/roseproxy/tests/full_client_sockets.rs
+++ b/crates/roseproxy/tests/full_client_sockets.rs
@@ -7,6 +7,7 @@
 use common::*;
 use roseproxy::Clock;
 use roseproxy_transport::listener::Phase;
+use roseproxy_transport::network::{Network, Tcp};
 use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -21,6 +22,9 @@
 /// Time within which a client that does not finish its request is owed an error or a close.
 const MISBEHAVING_CLIENT_LIMIT: Duration = Duration::from_secs(3);
 
+/// Clients that connect at the same moment.
+const SIMULTANEOUS_CLIENTS: usize = 500;
+
 /// What a client has sent when it stops.
 const UNFINISHED_REQUESTS: [(&str, &str); 4] = [
     ("nothing", ""),
@@ -43,8 +47,7 @@
     let (endpoint, address) = bind_port().await;
     count_requests(endpoint);
     let config = config_with_short_latency_goals();
-    start_sidecar_on(roseproxy_transport::network::Tcp, config, Clock::system(), &[address], sockets, 40)
-        .await
+    start_sidecar_on(Tcp, config, Clock::system(), &[address], sockets, 40).await
 }
 
 /// A whole request with this time limit.
@@ -72,6 +75,25 @@
     assert!(answer.is_some(), "{what}: closed without an answer after {waited:?}");
 }
 
+/// Guards against connects that the system drops in a burst: their clients try again only after a second.
+#[test]
+fn hundreds_of_clients_connect_at_once() {
+    run_local(async {
+        let socket = Tcp.listen("127.0.0.1:0".parse().expect("an address")).await.expect("a port");
+        let address = socket.local_addr().expect("bound");
+        let connects: Vec<_> =
+            (0..SIMULTANEOUS_CLIENTS).map(|_| spawn_local(TcpStream::connect(address))).collect();
+        // Nobody accepts meanwhile, as while the thread is held up.
+        let mut clients = Vec::new();
+        for connect in connects {
+            let connected = timeout(LATE_ANSWER_ALLOWANCE, connect).await;
+            let connected =
+                connected.unwrap_or_else(|_| panic!("only {} clients are connected", clients.len()));
+            clients.push(connected.expect("no panic").expect("connects"));
+        }
+    });
+}
+
 /// Guards against whole requests that lie unread while clients that stopped in the middle of theirs hold all sockets.
 #[test]
 fn half_requests_that_stay_do_not_keep_whole_requests_unread() {
--- a/crates/transport/src/network.rs
+++ b/crates/transport/src/network.rs
@@ -13,7 +13,11 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use tokio::io::{AsyncRead, AsyncWrite};
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
+
+/// Connections that the system keeps until they are accepted; it drops further connects, which their
+/// clients repeat only after a second. The system's own limit may be lower.
+const ACCEPT_QUEUE_LENGTH: u32 = 1_024;
 
 /// What waits to be read on a stream.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -62,7 +66,11 @@
     type ConnectedStream = SharedTcpStream;
 
     async fn listen(&self, address: SocketAddr) -> io::Result<TcpListener> {
-        TcpListener::bind(address).await
+        let socket = if address.is_ipv4() { TcpSocket::new_v4() } else { TcpSocket::new_v6() }?;
+        // A restarted process takes the port over while connections of the last one still close.
+        socket.set_reuseaddr(true)?;
+        socket.bind(address)?;
+        socket.listen(ACCEPT_QUEUE_LENGTH)
     }
 
     async fn accept(&self, listener: &TcpListener) -> io::Result<(SharedTcpStream, Peek)> {
