Do not take the runtime's pause of the listener for an empty accept queue

What callers saw: after a time in which nothing could be accepted, the requests of the clients at the end of a long queue are sent on with their whole time, though most of it is gone (promise 'deadline').

Cause: Acceptor takes a pending accept for an empty queue, and counts the wait of all who come later from then. tokio has a task wait as well once it has done 128 operations in one turn.

Evidence: 400 clients behind one second of ENFILE, 'a client is taken to have 2000 ms left instead of 1000'. Found by the test for requests that hold all sockets: the wait of a client behind 25 half requests began anew.

Change: the accept is polled outside of the runtime's budget, so that pending means an empty queue; the loop gives way by the same budget at a place where nothing is concluded from it.

Tests: the_wait_in_a_long_accept_queue_is_subtracted_from_the_time_that_a_client_has_left failed before.

--- a/crates/roseproxy/tests/system_calls.rs
+++ b/crates/roseproxy/tests/system_calls.rs
@@ -8,6 +8,8 @@
 use roseproxy::Clock;
 use roseproxy_transport::errno::{EINTR, ENFILE, ENOBUFS, ENOMEM};
 use serde_json::json;
+use std::cell::RefCell;
+use std::rc::Rc;
 use std::time::{Duration, Instant};
 use tokio::io::AsyncWriteExt;
 use tokio::net::{TcpListener, TcpStream};
@@ -18,6 +20,8 @@
 const CLIENT_TIMEOUT_MS: f64 = 2_000.0;
 /// Time by which the timeout sent to an endpoint may exceed the time that the client has left.
 const TIMEOUT_SLACK_MS: f64 = 150.0;
+/// Clients in a long accept queue.
+const QUEUED_CLIENTS: usize = 400;
 /// Time for which a slow endpoint serves a request.
 const SERVICE_TIME: Duration = Duration::from_millis(300);
 
@@ -64,6 +68,43 @@
     });
 }
 
+/// The time that a client has left (ms), from the event log's line of its request.
+fn logged_time_left_ms(line: &str) -> Option<f64> {
+    let value = line.split(" taken ").nth(1)?.split("time_left=").nth(1)?;
+    value.parse().ok()
+}
+
+/// Guards against requests at the end of a long accept queue that count as just sent. Time is paused.
+#[test]
+fn the_wait_in_a_long_accept_queue_is_subtracted_from_the_time_that_a_client_has_left() {
+    run_paused(async {
+        let network = FaultyNetwork::default();
+        network.accept_error.set(Some(ENFILE));
+        let config = config_with_short_latency_goals();
+        let sidecar =
+            start_sidecar_on(network.clone(), config, Clock::system(), &[], QUEUED_CLIENTS, 20).await;
+        let lines = Rc::new(RefCell::new(Vec::new()));
+        let logged = lines.clone();
+        sidecar.gateway.log_to(Rc::new(move |line: &str| logged.borrow_mut().push(line.to_owned())), true);
+        let mut clients = Vec::new();
+        for number in 0..QUEUED_CLIENTS {
+            let text = request_with_short_timeout(&format!("queued-{number}"));
+            clients.push(connect_and_send(sidecar.address, &text).await);
+        }
+        tokio::time::sleep(Duration::from_millis(1_000)).await;
+        network.accept_error.set(None);
+        tokio::time::sleep(Duration::from_millis(500)).await;
+        let times_left: Vec<_> = lines.borrow().iter().filter_map(|line| logged_time_left_ms(line)).collect();
+        assert_eq!(times_left.len(), QUEUED_CLIENTS, "requests that were read");
+        let most = times_left.into_iter().fold(0.0, f64::max);
+        let left = CLIENT_TIMEOUT_MS - 1_000.0;
+        assert!(
+            most <= left + TIMEOUT_SLACK_MS,
+            "a client is taken to have {most:.0} ms left instead of {left:.0}"
+        );
+    });
+}
+
 /// Serves each request for `SERVICE_TIME`; returns the requests with the times at which they arrived.
 fn serve_slowly(endpoint: TcpListener) -> UnboundedReceiver<(String, Instant)> {
     let (sender, received) = unbounded_channel();
--- a/crates/transport/src/acceptor.rs
+++ b/crates/transport/src/acceptor.rs
@@ -60,7 +60,9 @@
         socket: &N::Listener,
         now: impl Fn() -> f64,
     ) -> io::Result<AcceptedClient<N::AcceptedStream>> {
-        let mut accept = pin!(network.accept(socket));
+        // The runtime makes a task that has done much in one turn wait as well; that must not be taken
+        // for an empty queue.
+        let mut accept = pin!(tokio::task::unconstrained(network.accept(socket)));
         let accepted = poll_fn(|cx| {
             let polled = accept.as_mut().poll(cx);
             self.waiting.set(polled.is_pending());
--- a/crates/transport/src/listener.rs
+++ b/crates/transport/src/listener.rs
@@ -100,6 +100,8 @@
     pub async fn run(self: Rc<Self>, socket: N::Listener) {
         let _timeout_task: AbortOnDrop = tokio::task::spawn_local(self.clone().enforce_timeouts()).into();
         loop {
+            // A long queue must not keep other tasks from running.
+            tokio::task::consume_budget().await;
             let accepted = self.acceptor.accept(self.gateway.network(), &socket, || self.gateway.now()).await;
             match accepted {
                 Ok(accepted) => self.clone().assign_slot(accepted).await,
