Answer clients with 503 that have waited 400 ms for a socket in vain

What callers saw: where requests being served hold all client sockets, the requests behind them lie unread for as long.

Cause: a client waited for a socket without a bound. Requests that are whole keep theirs; without a server in service they are held until their time is nearly over.

Evidence: 'client_waits receiving=0 answering=96', clients_longest_wait_ms 1975, refused_no_time 19. Ruled out: config servers that hang or take 0.4 s, where the module's refusals free the sockets (five trials, nothing lost, longest wait 102 ms).

Change: after 400 ms a client for which no connection can be closed gets a 503 and the connection ends. What the client has sent is read first, so that no reset follows.

Tests: requests_being_served_do_not_keep_whole_requests_unread failed before ('4 requests served, 4 sockets, 0 half requests: no answer after 550ms').

All tests of the workspace pass.

--- a/crates/platform/src/answer.rs
+++ b/crates/platform/src/answer.rs
@@ -10,9 +10,9 @@
 /// An HTTP response to a client.
 pub type Reply = Response<Full<Bytes>>;
 
-/// The response, as sent, on a connection that is closed before its request is complete because its
-/// socket is needed for another client. Nothing has been sent on, so trying again is harmless.
-pub const EVICTION_RESPONSE: &[u8] =
+/// The response, as sent, to a client that has to do without a socket: its request has not been read
+/// to its end. Nothing has been sent on, so trying again is harmless.
+pub const NO_SOCKET_RESPONSE: &[u8] =
     b"HTTP/1.1 503 Service Unavailable\r\nconnection: close\r\ncontent-length: 0\r\n\r\n";
 
 /// Builds a plain-text response of the sidecar itself, as opposed to one of a target.
--- a/crates/transport/src/client_slots.rs
+++ b/crates/transport/src/client_slots.rs
@@ -22,6 +22,9 @@
 /// A request arrives steadily while its client has been silent for at most this many times the
 /// longest pause so far.
 const STEADY_PAUSE_FACTOR: f64 = 2.0;
+/// Longest wait of a client for a socket. The platform takes a request for lost if its answer comes
+/// more than 500 ms after its time, however little time it has.
+const MAX_WAIT_MS: f64 = 400.0;
 /// Period at which another connection is chosen while a client waits for a socket.
 const EVICTION_PERIOD_MS: f64 = 10.0;
 
@@ -123,15 +126,18 @@
     }
 
     /// Waits for a socket for a client that has been waiting since `waiting_since` (ms) at the
-    /// earliest. Closes connections that have no complete request to free one.
-    pub async fn make_room(&self, waiting_since: f64) -> Permit {
+    /// earliest. Closes connections that have no complete request to free one. Returns `None` if the
+    /// client has waited for too long and no connection can be closed.
+    pub async fn make_room(&self, waiting_since: f64) -> Option<Permit> {
         loop {
             if let Some(permit) = self.try_acquire() {
-                return permit;
+                return Some(permit);
             }
             let now = (self.now)();
-            if let Some(slot) = self.choose_eviction(now, now - waiting_since) {
-                slot.request_eviction();
+            match self.choose_eviction(now, now - waiting_since) {
+                Some(slot) => slot.request_eviction(),
+                None if now - waiting_since >= MAX_WAIT_MS => return None,
+                None => {}
             }
             // The chosen connection may have received input at this very moment; the next round
             // picks another.
--- a/crates/transport/src/client_stream.rs
+++ b/crates/transport/src/client_stream.rs
@@ -88,6 +88,18 @@
         }
     }
 
+    /// Discards the input that is there, writes `response` and shuts down the write side. The input
+    /// is read first because closing a socket with unread input sends a reset.
+    pub async fn close_with(&mut self, response: &[u8]) -> io::Result<()> {
+        poll_fn(|cx| {
+            let mut reads = (0..MAX_READS_PER_POLL).map(|_| self.poll_discard(cx));
+            Poll::Ready(reads.find(|read| !matches!(read, Poll::Ready(Ok(1..)))))
+        })
+        .await;
+        self.write_all(response).await?;
+        self.shutdown().await
+    }
+
     fn poll_discard(&self, cx: &mut Context<'_>) -> Poll<io::Result<usize>> {
         let mut space = [0; DISCARD_CHUNK_BYTES];
         let mut buffer = ReadBuf::new(&mut space);
--- a/crates/transport/src/counters.rs
+++ b/crates/transport/src/counters.rs
@@ -13,6 +13,8 @@
     pub clients_waited: Cell<u64>,
     /// The longest that any of those may have waited for its socket since its client connected (ms).
     pub clients_longest_wait_ms: Cell<u64>,
+    /// Client connections refused because no socket was freed for them in time.
+    pub clients_turned_away: Cell<u64>,
     /// Accepts that failed, for example because descriptors ran out.
     pub accept_errors: Cell<u64>,
     /// Client connections closed with an incomplete request, or without a first request in time.
@@ -57,6 +59,7 @@
             ("clients_accepted", &self.clients_accepted),
             ("clients_waited", &self.clients_waited),
             ("clients_longest_wait_ms", &self.clients_longest_wait_ms),
+            ("clients_turned_away", &self.clients_turned_away),
             ("accept_errors", &self.accept_errors),
             ("requests_late", &self.requests_late),
             ("clients_closed_idle", &self.clients_closed_idle),
--- a/crates/transport/src/listener.rs
+++ b/crates/transport/src/listener.rs
@@ -21,7 +21,7 @@
 use hyper::{Request, StatusCode};
 use hyper_util::rt::TokioIo;
 use roseproxy_platform::answer::{
-    malformed_request, plain_text, set_connection_close, to_reply, Reply, EVICTION_RESPONSE,
+    malformed_request, plain_text, set_connection_close, to_reply, Reply, NO_SOCKET_RESPONSE,
 };
 use roseproxy_platform::request::{exceeds_body_limit, ForwardedRequest, Malformed};
 use roseproxy_platform::MAX_BODY_BYTES;
@@ -31,7 +31,7 @@
 use std::convert::Infallible;
 use std::pin::pin;
 use std::rc::Rc;
-use tokio::io::AsyncWriteExt;
+use tokio::io::{AsyncRead, AsyncWrite};
 
 /// Minimum of a request's time left for its body if the head arrived late.
 const MIN_BODY_TIMEOUT_MS: f64 = 250.0;
@@ -44,6 +44,8 @@
 const IDLE_TIMEOUT_MS: f64 = 90_000.0;
 /// How long input is still read and discarded after the last answer.
 const LINGER_TIMEOUT_MS: f64 = 300.0;
+/// Time limit for writing the refusal of a client that has no socket; others wait meanwhile.
+const REFUSAL_TIMEOUT_MS: f64 = 10.0;
 /// How long a client has waited for a socket when that is recorded.
 const LONG_WAIT_MS: f64 = 100.0;
 /// Shortest time between two such records, which share the log's limit of lines with others.
@@ -125,7 +127,9 @@
         self.accepted_at.set(self.gateway.now());
         // Only after the accept: closing an idle connection in advance, for a client that never
         // comes, would cost another client its connection.
-        let permit = self.acquire_permit(accepted.earliest_connect_at).await;
+        let Some(permit) = self.acquire_permit(accepted.earliest_connect_at).await else {
+            return self.turn_away(accepted.stream).await;
+        };
         let slot = ClientSlot::new(accepted.peek, accepted.earliest_connect_at, self.gateway.now());
         let occupied = self.slots.occupy(slot, permit);
         tokio::task::spawn_local(async move {
@@ -133,10 +137,11 @@
         });
     }
 
-    /// Acquires a socket for a client that connected at `earliest_connect_at` (ms) or later.
-    async fn acquire_permit(&self, earliest_connect_at: f64) -> Permit {
+    /// Acquires a socket for a client that connected at `earliest_connect_at` (ms) or later, unless
+    /// none is freed in time.
+    async fn acquire_permit(&self, earliest_connect_at: f64) -> Option<Permit> {
         if let Some(permit) = self.slots.try_acquire() {
-            return permit;
+            return Some(permit);
         }
         let mut make_room = pin!(self.slots.make_room(earliest_connect_at));
         let permit = match tokio::time::timeout(duration_from_ms(LONG_WAIT_MS), &mut make_room).await {
@@ -150,6 +155,13 @@
         permit
     }
 
+    /// Refuses a client for which no socket was freed in time, whatever it has sent.
+    async fn turn_away(&self, stream: N::AcceptedStream) {
+        increment(&self.gateway.counters.clients_turned_away);
+        let mut client_stream = ClientStream::new(stream, Rc::default(), self.gateway.clock());
+        close_with_refusal(&mut client_stream).await;
+    }
+
     /// Records what the sockets are used for while a client waits for one, at most once a period.
     fn record_long_wait(&self) {
         let now = self.gateway.now();
@@ -246,9 +258,7 @@
         };
         slot.draining_since.set(Some(self.gateway.now()));
         if reason == CloseReason::Evicted {
-            let answer = client_stream.write_all(EVICTION_RESPONSE);
-            let _ = tokio::time::timeout(duration_from_ms(INPUT_GRACE_MS), answer).await;
-            slot.close_requested.set(true);
+            return close_with_refusal(&mut client_stream).await;
         }
         // The rest of a partial request, or of one rejected before it was read, is still to arrive.
         if slot.may_have_unread_input.get() || slot.incoming.started_at().is_some() {
@@ -364,6 +374,13 @@
     }
 }
 
+/// Ends the connection of a client that has no socket any more, or none yet.
+async fn close_with_refusal<S: AsyncRead + AsyncWrite + Unpin>(client_stream: &mut ClientStream<S>) {
+    // The runtime's budget must not leave input unread. The connection ends in any case.
+    let closed = tokio::task::unconstrained(client_stream.close_with(NO_SOCKET_RESPONSE));
+    let _ = tokio::time::timeout(duration_from_ms(REFUSAL_TIMEOUT_MS), closed).await;
+}
+
 /// Reports to routing that the client of a flow has left: hyper then drops the request's future.
 struct FlowGuard<N: Network> {
     gateway: Rc<Gateway<N>>,
