Soak: crowds of half requests

Change: up to 160 connections at each sidecar on which the client stops in the middle of a request's head, drawn as often as silent crowds.

--- a/crates/soak/src/client.rs
+++ b/crates/soak/src/client.rs
@@ -44,6 +44,9 @@
     "GET /quote HTTP/1.1\r\nHo",
 ];
 
+/// What a client has sent that stops in the middle of a request.
+const HALF_REQUEST: &str = MALFORMED_INPUTS[6];
+
 /// Connection to the sidecar.
 struct Connection {
     stream: TcpStream,
@@ -98,7 +101,8 @@
         deadline_ms,
     });
     spawn_local(clients.clone().send_malformed_inputs());
-    spawn_local(clients.clone().hold_idle_connections());
+    spawn_local(clients.clone().hold_connections("", |behavior| behavior.idle_connections));
+    spawn_local(clients.clone().hold_connections(HALF_REQUEST, |behavior| behavior.half_requests));
     loop {
         let rate = clients.behavior.borrow().rate;
         if rate <= 0.0 {
@@ -189,18 +193,19 @@
         print(&Record::Request { id, sidecar, class, sent_at, timeout_ms, ended_at: now(), end });
     }
 
-    /// Holds the configured number of idle connections, and replaces those that were closed.
-    async fn hold_idle_connections(self: Rc<Self>) {
+    /// Holds as many connections as `wanted` tells, with `sent` written on each, and replaces those that were closed.
+    async fn hold_connections(self: Rc<Self>, sent: &str, wanted: impl Fn(&ClientBehavior) -> usize) {
         let mut held: Vec<TcpStream> = Vec::new();
         loop {
             tokio::time::sleep(Duration::from_millis(IDLE_REFILL_INTERVAL_MS)).await;
             held.retain(|stream| {
                 stream.try_read(&mut [0; 1]).is_err_and(|e| e.kind() == ErrorKind::WouldBlock)
             });
-            let wanted = self.behavior.borrow().idle_connections;
+            let wanted = wanted(&self.behavior.borrow());
             held.truncate(wanted);
             while held.len() < wanted && !self.behavior.borrow().open_only {
-                let Ok(stream) = TcpStream::connect(self.address).await else { break };
+                let Ok(mut stream) = TcpStream::connect(self.address).await else { break };
+                let _ = stream.write_all(sent.as_bytes()).await;
                 held.push(stream);
             }
         }
--- a/crates/soak/src/control.rs
+++ b/crates/soak/src/control.rs
@@ -59,6 +59,9 @@
     /// Number of idle connections to hold open.
     #[serde(rename = "crowd")]
     pub idle_connections: usize,
+    /// Number of connections to hold open on which half a request is sent.
+    #[serde(default)]
+    pub half_requests: usize,
 }
 
 /// State and behavior of the discovery stand-in, with the list of endpoints that it serves.
--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -44,7 +44,7 @@
 const RELOAD_PAUSE_MS: f64 = 30.0;
 /// Time after SIGTERM within which further signals are sent.
 const LATER_SIGNALS_MS: f64 = 1_500.0;
-/// Upper bound (exclusive) of the idle connections that a crowd opens at each sidecar; more than the sidecar has room
+/// Upper bound (exclusive) of the connections that a crowd opens at each sidecar; more than the sidecar has room
 /// for.
 const MAX_CROWD_CONNECTIONS: u64 = 160;
 /// Factor on the usual request rate during a burst.
@@ -65,6 +65,8 @@
     ReloadSeries,
     /// Idle connections use up the sidecars' connection limits.
     Crowd,
+    /// Connections on which clients stop in the middle of a request use up the sidecars' connection limits.
+    HalfRequests,
     /// Clients send several times the usual number of requests.
     Burst,
     /// A sidecar gets only a fraction of a core.
@@ -180,6 +182,8 @@
     Kind::Leave,
     Kind::Slow,
     Kind::Misbehave,
+    Kind::HalfRequests,
+    Kind::HalfRequests,
     Kind::Calls(Failing::Accept(errno::ENFILE)),
     Kind::Calls(Failing::Accept(errno::ECONNABORTED)),
     Kind::Calls(Failing::Socket(errno::ENFILE)),
@@ -245,6 +249,10 @@
                 self.with_client_behavior(&fleet, |c| c.idle_connections = crowd, |c| c.idle_connections = 0)
                     .await
             }
+            Kind::HalfRequests => {
+                let crowd = (self.selector / 64 % MAX_CROWD_CONNECTIONS) as usize;
+                self.with_client_behavior(&fleet, |c| c.half_requests = crowd, |c| c.half_requests = 0).await
+            }
             Kind::Burst => {
                 self.with_client_behavior(&fleet, |c| c.rate *= BURST_FACTOR, |c| c.rate /= BURST_FACTOR)
                     .await
