Show who holds memory: messages by kind, allocations, and what is resident

Change: `transport/src/memory.rs` accounts for the bytes that messages hold by kind, with the peak and the number of reads that brought them; the program counts its allocations (crate `cap`) and reads what is resident. Behaviour is unchanged: bodies are still kept in parts.

--- a/crates/lab/src/in_process.rs
+++ b/crates/lab/src/in_process.rs
@@ -1,6 +1,7 @@
 //! Runs whole sidecars, from the listener down, as tasks of this process and over any network.
 
 use roseproxy::config::Config;
+use roseproxy::process_memory::UncountedMemory;
 use roseproxy::serve::{serve, Environment};
 use roseproxy::signals::Control;
 use roseproxy::Clock;
@@ -87,7 +88,14 @@
         let (commands, command_receiver) = unbounded_channel();
         let file = Rc::new(RefCell::new(config.clone()));
         let log_line: Rc<dyn Fn(&str)> = Rc::new(move |line| tracing::debug!(sidecar = number, "{line}"));
-        let environment = Environment { network, clock, log: log_line, decider, print_events: false };
+        let environment = Environment {
+            network,
+            clock,
+            log: log_line,
+            decider,
+            print_events: false,
+            process_memory: Box::new(UncountedMemory),
+        };
         let read_config = {
             let file = file.clone();
             move || Ok(Config::read(&file.borrow().to_string(), |_| None)?)
--- a/crates/platform/src/request.rs
+++ b/crates/platform/src/request.rs
@@ -151,6 +151,12 @@
         ForwardedRequest { method: parts.method.clone(), path, headers, body, id }
     }
 
+    /// Number of bytes that the forwarded parts other than the body take.
+    pub fn head_bytes(&self) -> usize {
+        let headers: usize = self.headers.iter().map(|(name, value)| name.as_str().len() + value.len()).sum();
+        self.path.len() + headers
+    }
+
     /// Builds the request to a target. `timeout_ms` is how long this sidecar waits for the response.
     pub fn to_target(&self, timeout_ms: f64) -> OutgoingRequest {
         let mut headers = self.headers.clone();
--- a/crates/roseproxy/src/lib.rs
+++ b/crates/roseproxy/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod config;
 pub mod counters;
 pub mod log;
+pub mod process_memory;
 pub mod reload;
 pub mod serve;
 pub mod shutdown;
--- a/crates/roseproxy/src/main.rs
+++ b/crates/roseproxy/src/main.rs
@@ -5,16 +5,31 @@
 //! the log. It depends on the library crate of the same name, where reading should begin.
 #![forbid(unsafe_code)]
 
+use cap::Cap;
 use roseproxy::config::{Config, ConfigError};
 use roseproxy::log::Log;
+use roseproxy::process_memory::ProcessMemory;
 use roseproxy::serve::{serve, Environment};
 use roseproxy::signals::Signals;
 use roseproxy::startup_retry::{retry_transient, wait_for_descriptors};
 use roseproxy::Clock;
 use roseproxy_transport::network::Tcp;
+use std::alloc::System;
 use std::process::ExitCode;
 use std::rc::Rc;
 
+/// Counts what the program allocates.
+#[global_allocator]
+static ALLOCATOR: Cap<System> = Cap::new(System, usize::MAX);
+
+struct CountedMemory;
+
+impl ProcessMemory for CountedMemory {
+    fn allocated_bytes(&self) -> u64 {
+        ALLOCATOR.allocated() as u64
+    }
+}
+
 fn run(log: &Rc<Log>) -> Result<(), String> {
     let read_config = || Config::load(|name| std::env::var(name).ok());
     wait_for_descriptors(&|line| log.write_line(line));
@@ -36,6 +51,7 @@
             log: write_line,
             decider: None,
             print_events,
+            process_memory: Box::new(CountedMemory),
         };
         let counters = serve(config, environment, signals, read_config).await?;
         log.write_final(&format!("{counters}log_lines_lost {}\n", log.lines_lost()));
--- a/crates/roseproxy/src/serve.rs
+++ b/crates/roseproxy/src/serve.rs
@@ -1,6 +1,7 @@
 //! Runs the sidecar: starts the layers, serves until it is told to shut down, and then drains.
 
 use super::config::{Config, ConfigError};
+use super::process_memory::ProcessMemory;
 use super::reload::Reload;
 use super::signals::{Control, ControlSource};
 use super::{counters, shutdown, startup_retry, Clock};
@@ -28,6 +29,8 @@
     pub decider: Option<Box<dyn Decider>>,
     /// Whether each event is logged as it happens.
     pub print_events: bool,
+    /// Reads the memory of the process.
+    pub process_memory: Box<dyn ProcessMemory>,
 }
 
 /// Runs the sidecar until it is told to shut down. `read_config` reads the configuration again for a reload.
@@ -38,7 +41,7 @@
     mut control: impl ControlSource,
     read_config: impl Fn() -> Result<Config, ConfigError>,
 ) -> Result<String, String> {
-    let Environment { network, clock, log, decider, print_events } = environment;
+    let Environment { network, clock, log, decider, print_events, process_memory } = environment;
     let started_at = clock.now();
     let socket =
         startup_retry::retry_transient(&*log, startup_retry::max_retries, || network.listen(config.listen))
@@ -67,7 +70,9 @@
     spawn_local(Watcher::new(gateway.clone(), discovery, revision).with_process_start(started_at).run());
     let (counted_gateway, reload_counts) = (gateway.clone(), reload.counts());
     let counter_text = Rc::new(move || {
-        counters::to_text(&[counted_gateway.counts(), reload_counts.by_name().to_vec()].concat())
+        let counts =
+            [counted_gateway.counts(), process_memory.named_counts(), reload_counts.by_name().to_vec()];
+        counters::to_text(&counts.concat())
     });
     let listener = Listener::new(gateway.clone(), clients, counter_text.clone());
     spawn_local(listener.clone().run(socket));
--- a/crates/roseproxy/tests/common/mod.rs
+++ b/crates/roseproxy/tests/common/mod.rs
@@ -7,6 +7,7 @@
 pub mod gated;
 pub mod registry;
 
+use roseproxy::process_memory::UncountedMemory;
 use roseproxy::serve::{serve as serve_program, Environment};
 use roseproxy::signals::Control;
 use roseproxy::{config::Config, Clock};
@@ -17,6 +18,7 @@
 use roseproxy_transport::budget::Budget;
 use roseproxy_transport::discovery::Watcher;
 use roseproxy_transport::listener::Listener;
+use roseproxy_transport::memory::{HeldMemory, MessageKind, MessageMemory};
 use roseproxy_transport::network::{Network, Tcp};
 use roseproxy_transport::pool::REUSE_DELAY_MS;
 use roseproxy_transport::Gateway;
@@ -167,6 +169,11 @@
     spawn_local(Watcher::new(gateway.clone(), watch::channel(address).1, known).run());
 }
 
+/// Memory of an answer that is read by a test itself.
+pub fn unaccounted() -> HeldMemory {
+    MessageMemory::default().hold(MessageKind::Answer)
+}
+
 /// Binds a free port on the loopback interface.
 pub async fn bind_port() -> (TcpListener, SocketAddr) {
     let socket = TcpListener::bind("127.0.0.1:0").await.expect("a port");
@@ -341,7 +348,8 @@
 /// The environment in which the program runs: `network`, the system clock, and a log that is discarded.
 pub fn test_environment<N: Network>(network: N) -> Environment<N> {
     let log = Rc::new(|_: &str| {});
-    Environment { network, clock: Clock::system(), log, decider: None, print_events: false }
+    let process_memory = Box::new(UncountedMemory);
+    Environment { network, clock: Clock::system(), log, decider: None, print_events: false, process_memory }
 }
 
 /// Runs the whole program with `config`; returns its task and the channel that stands for its signals.
--- a/crates/transport/src/attempt.rs
+++ b/crates/transport/src/attempt.rs
@@ -3,6 +3,7 @@
 use super::connection::ExchangeResult;
 use super::duration_from_ms;
 use super::gateway::Gateway;
+use super::memory::MessageKind;
 use super::network::{Network, PeekResult};
 use super::pool::PooledConnection;
 use super::write_progress::{WriteObserver, WriteStage};
@@ -71,7 +72,12 @@
         let observer = Rc::new(AttemptWriteObserver::new(self, id, permit, announced_ms));
         match pooled
             .connection
-            .exchange_guarded(request.to_target(announced_ms), write_deadline, observer.clone())
+            .exchange_guarded(
+                request.to_target(announced_ms),
+                write_deadline,
+                observer.clone(),
+                self.memory.hold(MessageKind::Answer),
+            )
             .await
         {
             ExchangeResult::Answered(status, headers, body) => {
--- a/crates/transport/src/connection.rs
+++ b/crates/transport/src/connection.rs
@@ -1,13 +1,15 @@
 //! One connection to a target: hyper's client, with accounting of the bytes written for each
 //! request.
 
+use super::memory::HeldMemory;
+use super::message_body::read_body;
 use super::network::{Peek, PeekResult};
 use super::retrying_stream::RetryingStream;
 use super::tap::TappedStream;
 use super::write_progress::{WriteObserver, WriteProgress};
 use super::AbortOnDrop;
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::Full;
 use hyper::body::{Body, Incoming};
 use hyper::client::conn::http1::{handshake, SendRequest};
 use hyper::{HeaderMap, Response, StatusCode};
@@ -93,9 +95,9 @@
 
     /// Sends a request and reads the complete answer. The request is sent once: if the connection
     /// turns out to be closed the exchange is broken, and nothing is resent behind the caller's
-    /// back.
-    pub async fn exchange(&mut self, outgoing: OutgoingRequest) -> ExchangeResult {
-        self.exchange_with_limit(outgoing, MAX_BODY_BYTES).await
+    /// back. The memory of the answer's body is accounted for by `held`.
+    pub async fn exchange(&mut self, outgoing: OutgoingRequest, held: HeldMemory) -> ExchangeResult {
+        self.exchange_with_limit(outgoing, MAX_BODY_BYTES, held).await
     }
 
     /// Like [`Connection::exchange`], for a request that must not be written any further once
@@ -106,6 +108,7 @@
         outgoing: OutgoingRequest,
         write_deadline: impl Future<Output = ()>,
         observer: Rc<dyn WriteObserver>,
+        held: HeldMemory,
     ) -> ExchangeResult {
         let (written, request_end) =
             (self.write_progress.clone(), self.write_progress.written() + outgoing.length);
@@ -118,15 +121,20 @@
         };
         tokio::select! {
             biased;
-            end = self.exchange(outgoing) => end,
+            end = self.exchange(outgoing, held) => end,
             () = aborted => ExchangeResult::Broken { last_byte_written: false },
         }
     }
 
     /// Like [`Connection::exchange`], with a given limit for the body of the answer (bytes).
-    pub async fn exchange_with_limit(&mut self, outgoing: OutgoingRequest, limit: usize) -> ExchangeResult {
+    pub async fn exchange_with_limit(
+        &mut self,
+        outgoing: OutgoingRequest,
+        limit: usize,
+        held: HeldMemory,
+    ) -> ExchangeResult {
         match self.send(outgoing).await {
-            Ok(answer) => self.read_answer(answer, limit).await,
+            Ok(answer) => self.read_answer(answer, limit, held).await,
             Err(broken) => broken,
         }
     }
@@ -150,7 +158,12 @@
         }
     }
 
-    async fn read_answer(&mut self, answer: Response<Incoming>, limit: usize) -> ExchangeResult {
+    async fn read_answer(
+        &mut self,
+        answer: Response<Incoming>,
+        limit: usize,
+        held: HeldMemory,
+    ) -> ExchangeResult {
         let (head, body) = answer.into_parts();
         // Not an answer to our request: status 101 would switch to another protocol, and a body
         // announced as larger than the platform allows is not waited for.
@@ -159,10 +172,10 @@
             return self.broken();
         }
         // Guards against an endless body: no more is read than the platform allows.
-        match Limited::new(body, limit).collect().await {
+        match read_body(body, limit, held).await {
             Ok(body) => {
                 self.request_end = None;
-                ExchangeResult::Answered(head.status, head.headers, body.to_bytes())
+                ExchangeResult::Answered(head.status, head.headers, body)
             }
             Err(_) => self.broken(),
         }
--- a/crates/transport/src/discovery.rs
+++ b/crates/transport/src/discovery.rs
@@ -5,6 +5,7 @@
 use super::counters::increment;
 use super::duration_from_ms;
 use super::gateway::Gateway;
+use super::memory::MessageKind;
 use super::network::Network;
 use crate::connection::ExchangeResult;
 use http_body_util::BodyExt;
@@ -183,8 +184,9 @@
 
     /// Requests the complete list and returns its revision.
     async fn fetch_list(&mut self, connection: &mut Connection, host: &str) -> Result<u64, CallEnd> {
-        let fetch =
-            connection.exchange_with_limit(OutgoingRequest::get(discovery::LIST_PATH, host), MAX_LIST_BYTES);
+        let request = OutgoingRequest::get(discovery::LIST_PATH, host);
+        let held = self.gateway.memory.hold(MessageKind::List);
+        let fetch = connection.exchange_with_limit(request, MAX_LIST_BYTES, held);
         let answer = tokio::time::timeout(duration_from_ms(ANSWER_TIMEOUT_MS), fetch).await;
         match answer.map_err(|_| CallEnd::NoAnswer)? {
             ExchangeResult::Answered(StatusCode::OK, _, body) => self.apply(&body)?,
@@ -197,6 +199,7 @@
     /// Applies the messages of an open watch until it ends.
     async fn read_watch(&mut self, mut body: Incoming) -> CallEnd {
         let mut decoder = WatchDecoder::default();
+        let mut held = self.gateway.memory.hold(MessageKind::List);
         // A partial line, or an object whose end does not arrive, does not count as a message.
         let mut last_message_at = self.gateway.now();
         loop {
@@ -221,6 +224,8 @@
                 }
                 last_message_at = self.gateway.now();
             });
+            held.set(decoder.buffered_bytes());
+            held.count_part();
             // Objects received after the undecodable one stay applied, but resuming from their
             // revision would hide the gap.
             if let Some(revision) = resume_from {
--- a/crates/transport/src/gateway.rs
+++ b/crates/transport/src/gateway.rs
@@ -4,6 +4,7 @@
 use super::connection::ExchangeResult;
 use super::connector::{connect, ConnectError};
 use super::counters::{increment, Counters};
+use super::memory::{HeldMemory, MessageKind, MessageMemory};
 use super::network::{Network, Peek};
 use super::pool::{Pool, PooledConnection};
 use super::{duration_from_ms, AbortOnDrop};
@@ -36,6 +37,8 @@
     answer: oneshot::Sender<Answer>,
     /// Notifies the flow's forwards that no one waits for the answer any more.
     ended: Rc<Notify>,
+    /// Accounts for the memory of the request's head.
+    _head: HeldMemory,
 }
 
 /// Executes routing's orders on the network and reports the results back to routing.
@@ -47,6 +50,8 @@
     pub classes: Classes,
     /// Counters of the socket layer.
     pub counters: Counters,
+    /// Accounts for the memory that messages hold.
+    pub memory: MessageMemory,
     pool: RefCell<Pool>,
     target_budget: Budget,
     connect_timeout_ms: f64,
@@ -82,6 +87,7 @@
             now,
             classes,
             counters: Counters::default(),
+            memory: MessageMemory::default(),
             pool: RefCell::new(Pool::new(to_millis(network_settings.conn_idle))),
             target_budget: targets,
             connect_timeout_ms: to_millis(network_settings.connect_timeout),
@@ -131,7 +137,10 @@
         let client_id = truncate_client_id(request.id.as_bytes());
         let taken = EventKind::Taken { client_id, class: new.class, time_left: new.time_left };
         self.host.borrow_mut().events.record(self.now(), Some(id), taken);
-        let pending = PendingFlow { request: Rc::new(request), peek_client, answer, ended: Rc::default() };
+        let mut head = self.memory.hold(MessageKind::Head);
+        head.set(request.head_bytes());
+        let (request, ended) = (Rc::new(request), Rc::default());
+        let pending = PendingFlow { request, peek_client, answer, ended, _head: head };
         self.pending_flows.borrow_mut().insert(id, pending);
         self.execute_orders();
         Some((id, receiver))
@@ -320,6 +329,7 @@
         let mut counts = self.host.borrow().counters.named_counts();
         counts.extend(self.host.borrow().snapshot());
         counts.extend(self.counters.named_counts());
+        counts.extend(self.memory.named_counts());
         let gauges = [
             ("discovery_revision", self.revision.get()),
             ("discovery_list_age_ms", self.host.borrow().list_age(self.now()) as u64),
@@ -432,7 +442,8 @@
         let end = match self.connection_to(target, address, self.connect_timeout_ms).await {
             Err(outcome) => ProbeEnd { outcome, load: None },
             Ok(mut pooled) => {
-                match pooled.connection.exchange(OutgoingRequest::get("/stats", "origin.svc")).await {
+                let held = self.memory.hold(MessageKind::Answer);
+                match pooled.connection.exchange(OutgoingRequest::get("/stats", "origin.svc"), held).await {
                     ExchangeResult::Answered(status, _, body) => {
                         self.return_to_pool(target, pooled);
                         self.read_probe(status, &body)
--- a/crates/transport/src/lib.rs
+++ b/crates/transport/src/lib.rs
@@ -25,6 +25,8 @@
 mod event_loop_lag;
 mod gateway;
 pub mod listener;
+pub mod memory;
+mod message_body;
 pub mod network;
 pub mod pool;
 pub mod request_framing;
--- a/crates/transport/src/listener.rs
+++ b/crates/transport/src/listener.rs
@@ -8,12 +8,13 @@
 use super::counters::increment;
 use super::event_loop_lag::{EventLoopLag, TICK_PERIOD_MS};
 use super::gateway::Gateway;
+use super::memory::MessageKind;
+use super::message_body::{read_body, BodyError};
 use super::network::Network;
 use super::request_framing::{Framing, RequestTap};
 use super::retrying_stream::RetryingStream;
 use super::tap::TappedStream;
 use super::{duration_from_ms, AbortOnDrop};
-use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming as Body;
 use hyper::header::CONNECTION;
 use hyper::server::conn::http1;
@@ -220,8 +221,12 @@
     }
 
     async fn serve(self: &Rc<Self>, slot: &Rc<ClientSlot>, stream: N::AcceptedStream) {
-        let tap =
-            RequestTap { incoming: slot.incoming.clone(), now: self.gateway.clock(), limit: MAX_HEAD_BYTES };
+        let tap = RequestTap {
+            incoming: slot.incoming.clone(),
+            now: self.gateway.clock(),
+            limit: MAX_HEAD_BYTES,
+            held: self.gateway.memory.hold(MessageKind::Head),
+        };
         let write_blocked_since = slot.write_blocked_since.clone();
         let mut client_stream =
             ClientStream::new(RetryingStream::new(stream), write_blocked_since, self.gateway.clock());
@@ -333,12 +338,13 @@
         if exceeds_body_limit(&parts.headers) {
             return Err(too_large);
         }
-        let read = Limited::new(body, MAX_BODY_BYTES).collect();
+        let held = self.gateway.memory.hold(MessageKind::RequestBody);
+        let read = read_body(body, MAX_BODY_BYTES, held);
         let timeout_ms = (sent_at + REQUEST_TIMEOUT_MS - self.gateway.now()).max(MIN_BODY_TIMEOUT_MS);
         let body = match tokio::time::timeout(duration_from_ms(timeout_ms), read).await {
-            Ok(Ok(body)) => body.to_bytes(),
-            Ok(Err(e)) if e.is::<http_body_util::LengthLimitError>() => return Err(too_large),
-            Ok(Err(_)) => {
+            Ok(Ok(body)) => body,
+            Ok(Err(BodyError::TooLarge)) => return Err(too_large),
+            Ok(Err(BodyError::Broken)) => {
                 return Err(Malformed { status: StatusCode::BAD_REQUEST, reason: "the body is not whole" })
             }
             Err(_) => {
--- /dev/null
+++ b/crates/transport/src/memory.rs
@@ -0,0 +1,94 @@
+//! Accounts for the memory that messages hold, by what they are.
+
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::Arc;
+
+/// What a message that holds memory is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum MessageKind {
+    /// The body of a client's request: received in part, or kept until its flow has been answered.
+    RequestBody,
+    /// The body of an answer: received in part, or not yet written to its client.
+    Answer,
+    /// The head of a request: received in part, or kept until its flow has been answered.
+    Head,
+    /// A list or change from discovery that has been received in part, or is being read.
+    List,
+}
+
+/// All kinds with their names in the counters.
+const MESSAGE_KINDS: [(MessageKind, &str); 4] = [
+    (MessageKind::RequestBody, "request_bodies"),
+    (MessageKind::Answer, "answers"),
+    (MessageKind::Head, "heads"),
+    (MessageKind::List, "lists"),
+];
+
+/// Memory held by the messages of one kind (bytes).
+#[derive(Debug, Default)]
+struct Usage {
+    held: AtomicUsize,
+    peak: AtomicUsize,
+    /// Number of reads that have brought a part of such a message so far.
+    parts: AtomicUsize,
+}
+
+/// Memory held by messages, by kind. Clones share the figures.
+#[derive(Clone, Debug, Default)]
+pub struct MessageMemory(Arc<[Usage; MESSAGE_KINDS.len()]>);
+
+impl MessageMemory {
+    /// Begins to account for a message, which holds nothing yet.
+    pub fn hold(&self, kind: MessageKind) -> HeldMemory {
+        let index = MESSAGE_KINDS.iter().position(|(known, _)| *known == kind).unwrap_or_default();
+        HeldMemory { memory: self.clone(), index, bytes: 0 }
+    }
+
+    /// The memory held by messages of one kind (bytes).
+    pub fn held(&self, kind: MessageKind) -> usize {
+        let usage = MESSAGE_KINDS.iter().zip(&*self.0).find(|((known, _), _)| *known == kind);
+        usage.map_or(0, |(_, usage)| usage.held.load(Ordering::Relaxed))
+    }
+
+    /// The figures of all kinds with their names.
+    pub(super) fn named_counts(&self) -> Vec<(String, u64)> {
+        let named = MESSAGE_KINDS.iter().zip(&*self.0).flat_map(|((_, name), usage)| {
+            let figures = [("bytes", &usage.held), ("peak_bytes", &usage.peak), ("parts", &usage.parts)];
+            figures.map(|(figure, value)| {
+                (format!("memory_{name}_{figure}"), value.load(Ordering::Relaxed) as u64)
+            })
+        });
+        named.collect()
+    }
+}
+
+/// The memory that one message holds, accounted for until this is dropped.
+#[derive(Debug)]
+pub struct HeldMemory {
+    memory: MessageMemory,
+    /// Index of the message's kind in [`MESSAGE_KINDS`].
+    index: usize,
+    bytes: usize,
+}
+
+impl HeldMemory {
+    /// Records that the message now holds this many bytes.
+    pub fn set(&mut self, bytes: usize) {
+        let usage = &self.memory.0[self.index];
+        usage.held.fetch_add(bytes, Ordering::Relaxed);
+        let held = usage.held.fetch_sub(self.bytes, Ordering::Relaxed) - self.bytes;
+        usage.peak.fetch_max(held, Ordering::Relaxed);
+        self.bytes = bytes;
+    }
+
+    /// Records that a read has brought a part of the message.
+    pub fn count_part(&self) {
+        self.memory.0[self.index].parts.fetch_add(1, Ordering::Relaxed);
+    }
+}
+
+impl Drop for HeldMemory {
+    fn drop(&mut self) {
+        self.set(0);
+    }
+}
--- a/crates/transport/src/request_framing.rs
+++ b/crates/transport/src/request_framing.rs
@@ -5,6 +5,7 @@
 //! uses the latter, so a service cannot tell that both were present. hyper also does not report a
 //! head that has only partly arrived.
 
+use super::memory::HeldMemory;
 use super::tap::Tap;
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
@@ -64,6 +65,11 @@
         matches!(self.framing.get(), Some(Framing::Length(length)) if self.bytes_after_head.get() <= length)
     }
 
+    /// Number of bytes kept of a head that is not complete.
+    pub fn buffered_head_bytes(&self) -> usize {
+        self.head.borrow().len()
+    }
+
     /// Counts bytes received after the request that were discarded.
     pub fn add_discarded(&self, count: usize) {
         self.bytes_after_head.set(self.bytes_after_head.get().saturating_add(count as u64));
@@ -137,10 +143,13 @@
     pub now: roseproxy_routing::time::Now,
     /// Longest head that is read (bytes).
     pub limit: usize,
+    /// Accounts for the memory of a head that is not complete.
+    pub held: HeldMemory,
 }
 
 impl Tap for RequestTap {
     fn on_read(&mut self, bytes: &[u8]) {
         self.incoming.feed((self.now)(), bytes, self.limit);
+        self.held.set(self.incoming.buffered_head_bytes());
     }
 }
--- a/crates/transport/tests/connection.rs
+++ b/crates/transport/tests/connection.rs
@@ -6,6 +6,7 @@
 use quickcheck::{Arbitrary, Gen, QuickCheck, TestResult};
 use roseproxy_platform::request::ForwardedRequest;
 use roseproxy_transport::connection::{Connection, ConnectionState, ExchangeResult};
+use roseproxy_transport::memory::{MessageKind, MessageMemory};
 use roseproxy_transport::network::PeekResult;
 use std::rc::Rc;
 use tokio::io::{AsyncReadExt, AsyncWriteExt, DuplexStream};
@@ -98,8 +99,9 @@
         let outgoing = outgoing.to_target(480.0);
         assert!(outgoing.request.headers().contains_key(CONTENT_LENGTH));
         let (length, mut connection) = (outgoing.length, self.connection.take().expect("idle"));
+        let held = MessageMemory::default().hold(MessageKind::Answer);
         self.exchange_task = Some(spawn_local(async move {
-            let exchange = connection.exchange(outgoing).await;
+            let exchange = connection.exchange(outgoing, held).await;
             (connection, exchange)
         }));
         length
