Copy what is kept of a request's head, which kept a read buffer

What callers saw: nothing by itself; each request whose body still arrived, or whose answer was awaited, cost 8 to 16 KiB beside its own bytes, in the sum that `memory_mb` limits.

Cause: the values of a parsed head are slices of hyper's read buffer. `handle_flow` kept the head while it read the body, and `ForwardedRequest::new` kept its values until the flow was answered, so the connection allocated another buffer.

Change: the forwarded values are copied when the head is read, and the head is dropped before the body is awaited.

--- a/crates/platform/src/request.rs
+++ b/crates/platform/src/request.rs
@@ -137,18 +137,19 @@
 }
 
 impl ForwardedRequest {
-    /// Extracts the forwarded parts from a request that has been read completely.
-    pub fn new(parts: &Parts, body: Bytes) -> ForwardedRequest {
+    /// Extracts the forwarded parts from the head of a request whose body is still to be read. They are
+    /// copied, as the values of `parts` share the buffer into which the head was read, and would keep it.
+    pub fn new(parts: &Parts) -> ForwardedRequest {
         let path = parts.uri.path_and_query().map_or("/", |p| p.as_str()).to_owned();
         let forwarded = [HOST, REQUEST_ID, REQUEST_CLASS, TENANT, IDEMPOTENCY_KEY];
         let mut headers: Vec<_> =
-            forwarded.into_iter().filter_map(|n| parts.headers.get(&n).map(|v| (n, v.clone()))).collect();
+            forwarded.into_iter().filter_map(|n| parts.headers.get(&n).map(|v| (n, copied(v)))).collect();
         // HTTP/1.1 requires a Host header, even if the client did not send one.
         if !parts.headers.contains_key(HOST) {
             headers.push((HOST, HeaderValue::from_static("origin.svc")));
         }
-        let id = parts.headers.get(REQUEST_ID).cloned().unwrap_or(HeaderValue::from_static(""));
-        ForwardedRequest { method: parts.method.clone(), path, headers, body, id }
+        let id = parts.headers.get(REQUEST_ID).map_or(HeaderValue::from_static(""), copied);
+        ForwardedRequest { method: parts.method.clone(), path, headers, body: Bytes::new(), id }
     }
 
     /// Number of bytes that the forwarded parts other than the body take.
@@ -169,6 +170,12 @@
     }
 }
 
+/// A value with a buffer of its own.
+fn copied(value: &HeaderValue) -> HeaderValue {
+    // What was a valid value stays one.
+    HeaderValue::from_bytes(value.as_bytes()).unwrap_or_else(|_| value.clone())
+}
+
 /// A request in the exact form in which it is written, so that its length on the connection is known.
 #[derive(Debug)]
 pub struct OutgoingRequest {
--- a/crates/roseproxy/tests/message_memory.rs
+++ b/crates/roseproxy/tests/message_memory.rs
@@ -13,8 +13,10 @@
 use std::future::Future;
 use std::net::SocketAddr;
 use std::sync::{Mutex, PoisonError};
+use std::time::Duration;
 use tokio::io::AsyncWriteExt;
 use tokio::net::{TcpListener, TcpStream};
+use tokio::time::sleep;
 
 #[global_allocator]
 static ALLOCATOR: Cap<System> = Cap::new(System, usize::MAX);
@@ -29,6 +31,10 @@
 const PART_BYTES: usize = 256;
 /// Bytes of a body in one chunk.
 const CHUNK_BYTES: usize = 8;
+/// Size of the read buffers of connections; one that is kept takes all of it.
+const READ_BUFFER_BYTES: usize = 8_192;
+/// Time in which the sidecar reads what was written last.
+const SETTLING_TIME: Duration = Duration::from_millis(50);
 /// What messages may hold, as a multiple of the bytes that have arrived.
 const MAX_MEMORY_FACTOR: f64 = 1.3;
 
@@ -196,3 +202,25 @@
         });
     }
 }
+
+/// Guards against read buffers that the head of a request keeps until the request has been answered.
+#[test]
+fn a_request_does_not_keep_the_read_buffer_of_its_head() {
+    run_counting(async {
+        let (_endpoint, address) = bind_port().await;
+        let sidecar = start_sidecar_with_room(address).await;
+        let mut clients = Vec::new();
+        for _ in 0..MESSAGES {
+            let mut client = TcpStream::connect(sidecar.address).await.expect("connects");
+            exchange(&mut client, "GET /health/ready HTTP/1.1\r\nHost: origin.svc\r\n\r\n").await;
+            clients.push(client);
+        }
+        let idle = ALLOCATOR.allocated();
+        for (id, client) in clients.iter_mut().enumerate() {
+            client.write_all(request_head(id, Framing::Length).as_bytes()).await.expect("the sidecar reads");
+        }
+        sleep(SETTLING_TIME).await;
+        let grown = ALLOCATOR.allocated().saturating_sub(idle) / MESSAGES;
+        assert!(grown < READ_BUFFER_BYTES / 2, "heads hold {grown} bytes each");
+    });
+}
--- a/crates/transport/src/listener.rs
+++ b/crates/transport/src/listener.rs
@@ -338,10 +338,13 @@
         if exceeds_body_limit(&parts.headers) {
             return Err(too_large);
         }
+        let mut forwarded = ForwardedRequest::new(&parts);
+        // The head's values share the read buffer, which would be kept for as long as the flow is open.
+        drop(parts);
         let held = self.gateway.memory.hold(MessageKind::RequestBody);
         let read = read_body(body, MAX_BODY_BYTES, held);
         let timeout_ms = (sent_at + REQUEST_TIMEOUT_MS - self.gateway.now()).max(MIN_BODY_TIMEOUT_MS);
-        let body = match tokio::time::timeout(duration_from_ms(timeout_ms), read).await {
+        forwarded.body = match tokio::time::timeout(duration_from_ms(timeout_ms), read).await {
             Ok(Ok(body)) => body,
             Ok(Err(BodyError::TooLarge)) => return Err(too_large),
             Ok(Err(BodyError::Broken)) => {
@@ -351,10 +354,10 @@
                 return Err(Malformed { status: StatusCode::REQUEST_TIMEOUT, reason: "the body is late" })
             }
         };
-        let (id, answer) =
-            self.gateway.start_flow(new, ForwardedRequest::new(&parts, body), slot.peek.clone()).ok_or(
-                Malformed { status: StatusCode::CONFLICT, reason: "a request with this Request-Id is open" },
-            )?;
+        let (id, answer) = self.gateway.start_flow(new, forwarded, slot.peek.clone()).ok_or(Malformed {
+            status: StatusCode::CONFLICT,
+            reason: "a request with this Request-Id is open",
+        })?;
         let guard = FlowGuard { gateway: self.gateway.clone(), id };
         slot.open_flow.set(Some(id));
         // Routing answers every flow that it accepted; a missing answer is a failure all the same.
