--- a/crates/roseproxy/tests/message_memory.rs
+++ b/crates/roseproxy/tests/message_memory.rs
@@ -224,3 +224,39 @@
         assert!(grown < READ_BUFFER_BYTES / 2, "heads hold {grown} bytes each");
     });
 }
+
+/// What the sidecar keeps of each connection after an answer with a body of this length, with both sides idle.
+async fn bytes_kept_per_connection(body_length: usize) -> usize {
+    let (endpoint, address) = bind_port().await;
+    let sidecar = start_sidecar_with_room(address).await;
+    let before = ALLOCATOR.allocated();
+    let mut clients = Vec::new();
+    for id in 0..MESSAGES {
+        let request = request_text("place-order", &format!("short-{id}"), "b");
+        clients.push(connect_and_send(sidecar.address, &request).await);
+    }
+    let mut answering = accept_requests(&endpoint).await;
+    let body = "x".repeat(body_length);
+    write_to_all(&mut answering, &format!("HTTP/1.1 200 OK\r\nContent-Length: {body_length}\r\n\r\n{body}"))
+        .await;
+    for client in &mut clients {
+        read_message(client).await.expect("an answer");
+    }
+    wait_until("connections are kept", || counter(&sidecar.gateway, "targets_idle") == MESSAGES as u64).await;
+    drop(body);
+    ALLOCATOR.allocated().saturating_sub(before) / MESSAGES
+}
+
+/// Guards against read buffers that grow with what arrives at once, and stay with the connections that are kept.
+#[test]
+fn connections_keep_no_large_read_buffers_after_long_answers() {
+    run_counting(async {
+        let after_short_answers = bytes_kept_per_connection(10).await;
+        let after_long_answers = bytes_kept_per_connection(BODY_BYTES * 2).await;
+        let difference = after_long_answers.saturating_sub(after_short_answers);
+        assert!(
+            difference <= READ_BUFFER_BYTES,
+            "connections keep {difference} bytes more after long answers"
+        );
+    });
+}
--- a/crates/transport/src/connection.rs
+++ b/crates/transport/src/connection.rs
@@ -1,7 +1,7 @@
 //! One connection to a target: hyper's client, with accounting of the bytes written for each
 //! request.
 
-use super::memory::HeldMemory;
+use super::memory::{HeldMemory, MAX_HEAD_BYTES};
 use super::message_body::read_body;
 use super::network::{Peek, PeekResult};
 use super::retrying_stream::RetryingStream;
@@ -11,7 +11,7 @@
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::body::{Body, Incoming};
-use hyper::client::conn::http1::{handshake, SendRequest};
+use hyper::client::conn::http1::{Builder, SendRequest};
 use hyper::{HeaderMap, Response, StatusCode};
 use hyper_util::rt::TokioIo;
 use roseproxy_platform::request::OutgoingRequest;
@@ -72,7 +72,8 @@
     {
         let write_progress = WriteProgress::default();
         let stream = TappedStream::new(RetryingStream::new(stream), write_progress.clone());
-        let (sender, driver) = handshake(TokioIo::new(stream)).await?;
+        let (sender, driver) =
+            Builder::new().max_buf_size(MAX_HEAD_BYTES).handshake(TokioIo::new(stream)).await?;
         // Errors of the driver surface in the exchange or as a closed connection.
         let driver = tokio::task::spawn_local(async move { drop(driver.await) });
         Ok(Connection { sender, write_progress, request_end: None, peek, _driver: driver.into() })
--- a/crates/transport/src/listener.rs
+++ b/crates/transport/src/listener.rs
@@ -8,7 +8,7 @@
 use super::counters::increment;
 use super::event_loop_lag::{EventLoopLag, TICK_PERIOD_MS};
 use super::gateway::Gateway;
-use super::memory::MessageKind;
+use super::memory::{MessageKind, MAX_HEAD_BYTES};
 use super::message_body::{read_body, BodyError};
 use super::network::Network;
 use super::request_framing::{Framing, RequestTap};
@@ -51,8 +51,6 @@
 const LONG_WAIT_MS: f64 = 100.0;
 /// Shortest time between two such records, which share the log's limit of lines with others.
 const LONG_WAIT_RECORD_PERIOD_MS: f64 = 30_000.0;
-/// Longest request head that is read; a larger one gets a 431.
-const MAX_HEAD_BYTES: usize = 16 * 1024;
 
 /// How the listener treats new work.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/crates/transport/src/memory.rs
+++ b/crates/transport/src/memory.rs
@@ -3,6 +3,10 @@
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::Arc;
 
+/// Longest head of a request or an answer that is read. Read buffers do not grow beyond it either. A longer head of a
+/// request gets a 431, one of an answer breaks the connection.
+pub(super) const MAX_HEAD_BYTES: usize = 16 * 1024;
+
 /// What a message that holds memory is.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum MessageKind {
