Bound the memory of all messages in hand by memory_mb

What callers saw: where many long requests were in hand at once, a sidecar with a small limit went over `memory_mb`, and the platform killed it with all requests that were open there.

Cause: nothing read `limits.memory_mb`. What a message costs is its length now, but the number of messages was bounded by descriptors alone: at 1,024 of them 425 clients may hold 64 KiB each, and as many answers.

Change: `transport/src/memory_budget.rs`, beside the budget of descriptors. A request is read once its head, its body and a whole answer have been set aside, in the order of asking, so no message waits for another one that waits, and one that was taken keeps its answer; a failed attempt gives the memory for the answer back to the next one, and bodies of answers that are no success are not kept at all. A request for which there is no memory waits unread until 400 ms after its first byte, then it is read without being kept and gets a 503. Probes wait for memory as long as they may run; `/health/events` gets a 503; lists have 4 MiB of their own, as before.

--- a/crates/lab/tests/discovery_return.rs
+++ b/crates/lab/tests/discovery_return.rs
@@ -10,6 +10,7 @@
 use roseproxy_routing::Host;
 use roseproxy_transport::budget::Budget;
 use roseproxy_transport::discovery::Watcher;
+use roseproxy_transport::memory_budget::MemoryBudget;
 use roseproxy_transport::network::{Network, Peek, PeekResult};
 use roseproxy_transport::Gateway;
 use serde_json::json;
@@ -452,7 +453,14 @@
     let now = move || EPOCH_MS + began.elapsed().as_secs_f64() * 1e3;
     let host = Host::new(config.settings.clone(), config.seed, now());
     let classes = Classes::new(config.names, config.settings.classes);
-    let gateway = Gateway::new(service.clone(), host, classes, Budget::new(20), Rc::new(now));
+    let gateway = Gateway::new(
+        service.clone(),
+        host,
+        classes,
+        Budget::new(20),
+        MemoryBudget::new(1 << 20),
+        Rc::new(now),
+    );
     gateway.apply_kept_list(Update::Complete, &[]);
     spawn_local(gateway.clone().run_timers());
     let (address_sender, address) = watch::channel(config.discovery);
--- a/crates/roseproxy/src/config.rs
+++ b/crates/roseproxy/src/config.rs
@@ -15,6 +15,15 @@
 /// A larger configured limit on sockets is reduced to this one.
 const MAX_SOCKETS: u64 = 1 << 20;
 
+/// Smallest limit on memory with which the sidecar can serve.
+const MIN_MEMORY_MB: f64 = 8.0;
+/// Limit on memory if the configuration sets none.
+const DEFAULT_MEMORY_MB: f64 = 192.0;
+/// A larger configured limit on memory is reduced to this one.
+const MAX_MEMORY_MB: f64 = 1e6;
+/// Bytes of a megabyte, taken for the smaller of its two meanings.
+const BYTES_PER_MB: f64 = 1e6;
+
 /// How often startup reads an incomplete file again, at intervals of 0.1 s.
 const INCOMPLETE_FILE_RETRIES: u32 = 10;
 
@@ -31,6 +40,8 @@
     pub seed: u64,
     /// Maximum number of open file descriptors.
     pub sockets: usize,
+    /// Maximum memory of the process (bytes).
+    pub memory_bytes: usize,
     /// The last known list of the target group, if there is one.
     pub known: Option<ListUpdate>,
     /// The settings of the platform, for the decision module.
@@ -127,6 +138,7 @@
             discovery: address("discovery", "LB_DISCOVERY")?,
             seed: seed(&all)?,
             sockets: sockets(&all)?,
+            memory_bytes: memory_bytes(&all)?,
             known: match all.get("known") {
                 None | Some(Value::Null) => None,
                 Some(known) => Some(discovery::from_json(known).map_err(|e| format!("known: {e}"))?),
@@ -162,3 +174,14 @@
             .ok_or_else(|| format!("limits.sockets is not a whole number from {MIN_SOCKETS}")),
     }
 }
+
+fn memory_bytes(all: &Value) -> Result<usize, String> {
+    let megabytes = match all.get("limits").and_then(|limits| limits.get("memory_mb")) {
+        None => DEFAULT_MEMORY_MB,
+        Some(limit) => limit
+            .as_f64()
+            .filter(|megabytes| *megabytes >= MIN_MEMORY_MB)
+            .ok_or_else(|| format!("limits.memory_mb is not a number from {MIN_MEMORY_MB}"))?,
+    };
+    Ok((megabytes.min(MAX_MEMORY_MB) * BYTES_PER_MB) as usize)
+}
--- a/crates/roseproxy/src/serve.rs
+++ b/crates/roseproxy/src/serve.rs
@@ -11,6 +11,7 @@
 use roseproxy_transport::budget::Budget;
 use roseproxy_transport::discovery::Watcher;
 use roseproxy_transport::listener::Listener;
+use roseproxy_transport::memory_budget::{self, MemoryBudget};
 use roseproxy_transport::network::Network;
 use roseproxy_transport::Gateway;
 use std::rc::Rc;
@@ -53,8 +54,10 @@
         None => Host::new(config.settings.clone(), config.seed, clock.now()),
         Some(decider) => Host::with_decider(config.settings.clone(), decider),
     };
-    let (clients, targets) = Budget::split(config.sockets);
-    let gateway = Gateway::new(network, host, classes, targets, clock.reader());
+    let max_connections = memory_budget::max_connections(config.memory_bytes);
+    let (clients, targets) = Budget::split(config.sockets.min(max_connections));
+    let memory_budget = MemoryBudget::of_process(config.memory_bytes);
+    let gateway = Gateway::new(network, host, classes, targets, memory_budget, clock.reader());
     gateway.set_wall_clock(clock.wall_reader());
     gateway.log_to(log.clone(), print_events);
     // The last known list is used until discovery answers. Without one, an empty list makes the decision
--- a/crates/roseproxy/tests/common/mod.rs
+++ b/crates/roseproxy/tests/common/mod.rs
@@ -15,10 +15,12 @@
 use roseproxy_platform::discovery;
 use roseproxy_platform::request::Classes;
 use roseproxy_routing::Host;
+use roseproxy_transport::answer_memory::AnswerMemory;
 use roseproxy_transport::budget::Budget;
 use roseproxy_transport::discovery::Watcher;
 use roseproxy_transport::listener::Listener;
-use roseproxy_transport::memory::{HeldMemory, MessageKind, MessageMemory};
+use roseproxy_transport::memory::MessageMemory;
+use roseproxy_transport::memory_budget::MemoryBudget;
 use roseproxy_transport::network::{Network, Tcp};
 use roseproxy_transport::pool::REUSE_DELAY_MS;
 use roseproxy_transport::Gateway;
@@ -38,6 +40,9 @@
 /// An answer with the body `priced`.
 pub const OK_RESPONSE: &str = "HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\npriced";
 
+/// Memory for messages of a sidecar in tests: more than any of them needs.
+const MESSAGE_MEMORY_BYTES: usize = 256 << 20;
+
 /// Runs a test on a single-threaded runtime, as the program does, with a limit of 20 s.
 pub fn run_local<T>(test: impl Future<Output = T>) -> T {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
@@ -62,7 +67,12 @@
 
 /// The base configuration after `change` has edited its settings.
 pub fn config_with(change: impl FnOnce(&mut Value)) -> Config {
-    let mut text = json!({"name": "n0", "listen": "127.0.0.1:0", "discovery": "127.0.0.1:9", "seed": "5",
+    config_with_file(|file| change(&mut file["settings"]))
+}
+
+/// The base configuration after `change` has edited its file.
+pub fn config_with_file(change: impl FnOnce(&mut Value)) -> Config {
+    let mut file = json!({"name": "n0", "listen": "127.0.0.1:0", "discovery": "127.0.0.1:9", "seed": "5",
         "settings": {"discovery": "on_request", "fleet_size": 1, "prices": {"probe": 1000.0},
             "limits": {"cancel": true, "max_attempts": 3, "max_retry_after": 1000000, "probes": true,
                 "retry_after": true, "second_copies": false},
@@ -74,8 +84,8 @@
                 {"aim": 60000000, "effect": "fragile", "give_up": 60000000, "name": "place-order", "worth": 8.0},
                 {"aim": 60000000, "effect": "dedup", "give_up": 60000000, "group": "cell", "name": "stock-update",
                     "window": 4000000, "worth": 1.0}]}});
-    change(&mut text["settings"]);
-    Config::read(&text.to_string(), |_| None).expect("a good configuration")
+    change(&mut file);
+    Config::read(&file.to_string(), |_| None).expect("a good configuration")
 }
 
 /// A list of discovery as JSON text, with an address and a phase for each entry.
@@ -150,7 +160,8 @@
     descriptors: usize,
 ) -> Rc<Gateway<N>> {
     let classes = Classes::new(config.names, config.settings.classes.clone());
-    let gateway = Gateway::new(network, host, classes, Budget::new(descriptors), clock.reader());
+    let memory = MemoryBudget::new(MESSAGE_MEMORY_BYTES);
+    let gateway = Gateway::new(network, host, classes, Budget::new(descriptors), memory, clock.reader());
     gateway.set_wall_clock(clock.wall_reader());
     let in_service: Vec<_> = endpoints.iter().map(|endpoint| (*endpoint, "in_service")).collect();
     let known = discovery::read(list_json(1, true, &in_service).as_bytes()).expect("a list");
@@ -170,8 +181,8 @@
 }
 
 /// Memory of an answer that is read by a test itself.
-pub fn unaccounted() -> HeldMemory {
-    MessageMemory::default().hold(MessageKind::Answer)
+pub fn memory_of_test() -> AnswerMemory {
+    AnswerMemory::of_budget(&MemoryBudget::new(MESSAGE_MEMORY_BYTES), &MessageMemory::default())
 }
 
 /// Binds a free port on the loopback interface.
--- a/crates/roseproxy/tests/crossings.rs
+++ b/crates/roseproxy/tests/crossings.rs
@@ -609,7 +609,7 @@
         .expect("open");
         let outgoing =
             roseproxy_platform::request::OutgoingRequest::get(&format!("/{}", "x".repeat(500)), "a");
-        let exchange = spawn_local(async move { connection.exchange(outgoing, unaccounted()).await });
+        let exchange = spawn_local(async move { connection.exchange(outgoing, &memory_of_test()).await });
         run_ready_tasks().await;
         far.write_all(OK_RESPONSE.as_bytes()).await.expect("written");
         let end = exchange.await.expect("no panic");
--- a/crates/roseproxy/tests/message_memory.rs
+++ b/crates/roseproxy/tests/message_memory.rs
@@ -7,8 +7,10 @@
 use cap::Cap;
 use common::*;
 use roseproxy::Clock;
+use roseproxy_platform::MAX_BODY_BYTES;
 use roseproxy_transport::memory::MessageKind;
 use roseproxy_transport::network::Tcp;
+use serde_json::json;
 use std::alloc::System;
 use std::future::Future;
 use std::net::SocketAddr;
@@ -38,6 +40,17 @@
 /// What messages may hold, as a multiple of the bytes that have arrived.
 const MAX_MEMORY_FACTOR: f64 = 1.3;
 
+/// Memory limit of a small process.
+const MEMORY_LIMIT_MB: usize = 32;
+/// Bytes of a megabyte.
+const BYTES_PER_MB: usize = 1_000_000;
+/// Share of the limit that may be in use at most.
+const MAX_MEMORY_SHARE: f64 = 0.8;
+/// Descriptors of that process; clients hold up to a third of them for requests.
+const SOCKETS: usize = 1024;
+/// How often the memory is looked at while requests are in hand.
+const SAMPLES: usize = 8;
+
 /// How a message states where its body ends.
 #[derive(Clone, Copy, Debug, PartialEq)]
 enum Framing {
@@ -260,3 +273,53 @@
         );
     });
 }
+
+/// Guards against messages that are held without a bound where many clients write long requests at the same time.
+#[test]
+fn requests_in_hand_stay_within_the_memory_limit() {
+    run_counting(async {
+        let (endpoint, endpoint_address) = bind_port().await;
+        count_requests(endpoint);
+        let limits = json!({"memory_mb": MEMORY_LIMIT_MB, "sockets": SOCKETS});
+        let config =
+            config_at_free_port(config_with_file(|file| file["limits"] = limits), &[endpoint_address]).await;
+        let address = config.listen;
+        let before = ALLOCATOR.allocated();
+        let (_program, _signals) = start_program(Tcp, config);
+        sleep(SETTLING_TIME).await;
+        let body = "x".repeat(MAX_BODY_BYTES);
+        let mut clients = Vec::new();
+        for id in 0..SOCKETS / 3 {
+            let request = request_text("place-order", &format!("order-{id}"), &body);
+            // The last byte comes later.
+            clients.push(connect_and_send_while_open(address, &request[..request.len() - 1]).await);
+        }
+        let mut most = 0;
+        for _ in 0..SAMPLES {
+            sleep(SETTLING_TIME).await;
+            most = most.max(ALLOCATOR.allocated().saturating_sub(before));
+        }
+        let limit = MEMORY_LIMIT_MB * BYTES_PER_MB;
+        assert!(
+            most as f64 <= MAX_MEMORY_SHARE * limit as f64,
+            "{most} bytes are held, the limit is {limit}"
+        );
+        let mut answered = [0, 0];
+        for client in &mut clients {
+            // Those that were refused may have been closed already.
+            let _ = client.write_all(b"x").await;
+            let answer = read_message(client).await.expect("an answer");
+            let served = answer.starts_with("HTTP/1.1 200");
+            assert!(served || answer.starts_with("HTTP/1.1 503"), "{answer}");
+            answered[usize::from(served)] += 1;
+        }
+        assert!(answered[1] > 0, "none of {} was served", clients.len());
+    });
+}
+
+/// Connects and sends as much of `text` as the sidecar reads.
+async fn connect_and_send_while_open(address: SocketAddr, text: &str) -> TcpStream {
+    let mut client = TcpStream::connect(address).await.expect("connects");
+    let _ = client.write_all(text.as_bytes()).await;
+    client
+}
--- a/crates/roseproxy/tests/protocol.rs
+++ b/crates/roseproxy/tests/protocol.rs
@@ -168,6 +168,8 @@
         ("/discovery", json!(null), "discovery"),
         ("/seed", json!("xyz"), "seed"),
         ("/limits/sockets", json!(3), "limits.sockets"),
+        ("/limits/memory_mb", json!(1), "limits.memory_mb"),
+        ("/limits/memory_mb", json!("192"), "limits.memory_mb"),
         ("/known", json!({"revision": 1}), "known"),
         ("/settings", json!({}), "limits"),
         ("/settings/customers/1/quota_per_s", json!("ten"), "quota_per_s"),
--- a/crates/roseproxy/tests/sockets.rs
+++ b/crates/roseproxy/tests/sockets.rs
@@ -109,7 +109,7 @@
             stream.write_all(OK_RESPONSE.as_bytes()).await.expect("written");
             stream
         });
-        connection.exchange(OutgoingRequest::get("/stats", "a"), unaccounted()).await;
+        connection.exchange(OutgoingRequest::get("/stats", "a"), &memory_of_test()).await;
         let stream = served.await.expect("no panic").into_std().expect("a stream");
         assert!(connection.wait_until_idle().await && connection.state() == ConnectionState::Idle);
         // The event loop does not run between the write and the check.
--- a/crates/transport/src/attempt.rs
+++ b/crates/transport/src/attempt.rs
@@ -1,14 +1,13 @@
 //! Runs one attempt on the network: obtains a connection, writes the request and reads the answer.
 
+use super::answer_memory::AnswerMemory;
 use super::connection::ExchangeResult;
 use super::duration_from_ms;
-use super::gateway::Gateway;
-use super::memory::MessageKind;
+use super::gateway::{Gateway, PendingRequest};
 use super::network::{Network, PeekResult};
 use super::pool::PooledConnection;
 use super::write_progress::{WriteObserver, WriteStage};
 use roseproxy_decision::interface::{Load, Outcome, ServerId};
-use roseproxy_platform::request::ForwardedRequest;
 use roseproxy_platform::{load, outcome};
 use roseproxy_routing::event_log::Activity;
 use roseproxy_routing::flow::{FlowId, ForwardEnd, ForwardId};
@@ -16,7 +15,6 @@
 use std::cell::Cell;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use tokio::sync::Notify;
 
 /// Share of an attempt's time that connecting may take.
 const CONNECT_TIME_SHARE: f64 = 0.25;
@@ -31,7 +29,7 @@
         target: ServerId,
         address: SocketAddr,
         deadline: f64,
-        pending: (Rc<ForwardedRequest>, Rc<Notify>),
+        pending: PendingRequest,
     ) {
         // A target that cannot be connected to must leave time for an attempt on another target.
         let connect_timeout_ms = ((deadline - self.now()) * CONNECT_TIME_SHARE).max(MIN_CONNECT_TIMEOUT_MS);
@@ -50,7 +48,7 @@
         id: ForwardId,
         target: ServerId,
         deadline: f64,
-        (request, ended): &(Rc<ForwardedRequest>, Rc<Notify>),
+        pending: &PendingRequest,
         mut pooled: PooledConnection,
     ) -> (ForwardEnd, Option<Load>) {
         let now = self.now();
@@ -64,19 +62,21 @@
         let write_deadline = async {
             tokio::select! {
                 biased;
-                () = ended.notified() => {}
+                () = pending.ended.notified() => {}
                 () = sleep_ms_or_forever(permit.write_deadline - now) => {}
             }
         };
         let announced_ms = deadline - now;
         let observer = Rc::new(AttemptWriteObserver::new(self, id, permit, announced_ms));
+        let memory =
+            AnswerMemory::of_flow(pending.answer_allowance.clone(), &self.memory_budget, &self.memory);
         match pooled
             .connection
             .exchange_guarded(
-                request.to_target(announced_ms),
+                pending.request.to_target(announced_ms),
                 write_deadline,
                 observer.clone(),
-                self.memory.hold(MessageKind::Answer),
+                &memory,
             )
             .await
         {
--- a/crates/transport/src/client_slot.rs
+++ b/crates/transport/src/client_slot.rs
@@ -64,6 +64,8 @@
     pub incoming: Rc<IncomingRequest>,
     /// The flow in progress, whose client may leave.
     pub open_flow: Cell<Option<FlowId>>,
+    /// Whether a request, which may be whole, waits unread until there is memory for it.
+    pub awaiting_memory: Cell<bool>,
     /// Whether to close the connection as soon as it is unused, or after the next answer.
     pub close_requested: Cell<bool>,
     /// What the socket was used for when the connection, which had no complete request, was chosen
@@ -96,6 +98,7 @@
             had_request: Cell::new(false),
             incoming: Rc::default(),
             open_flow: Cell::new(None),
+            awaiting_memory: Cell::new(false),
             close_requested: Cell::new(false),
             eviction_requested: Cell::new(None),
             draining_since: Cell::new(None),
@@ -115,7 +118,8 @@
         if let Some(since) = self.draining_since.get() {
             return Occupancy::Draining { since };
         }
-        if self.write_blocked_since.get().is_some() || self.open_flow.get().is_some() {
+        let request_in_hand = self.open_flow.get().is_some() || self.awaiting_memory.get();
+        if self.write_blocked_since.get().is_some() || request_in_hand {
             return Occupancy::Answering;
         }
         if let Some(last_input_at) = self.incoming.last_input_at() {
--- a/crates/transport/src/connection.rs
+++ b/crates/transport/src/connection.rs
@@ -1,8 +1,9 @@
 //! One connection to a target: hyper's client, with accounting of the bytes written for each
 //! request.
 
-use super::memory::{HeldMemory, MAX_HEAD_BYTES};
-use super::message_body::read_body;
+use super::answer_memory::AnswerMemory;
+use super::memory::MAX_HEAD_BYTES;
+use super::message_body::{discard_body, max_length, read_body};
 use super::network::{Peek, PeekResult};
 use super::retrying_stream::RetryingStream;
 use super::tap::TappedStream;
@@ -15,7 +16,6 @@
 use hyper::{HeaderMap, Response, StatusCode};
 use hyper_util::rt::TokioIo;
 use roseproxy_platform::request::OutgoingRequest;
-use roseproxy_platform::MAX_BODY_BYTES;
 use std::future::{pending, Future};
 use std::rc::Rc;
 use tokio::io::{AsyncRead, AsyncWrite};
@@ -37,7 +37,7 @@
 /// How an exchange ended.
 #[derive(Debug)]
 pub enum ExchangeResult {
-    /// A complete answer was received.
+    /// A complete answer was received. The body is only kept of a success.
     Answered(StatusCode, HeaderMap, Bytes),
     /// The connection failed, or what was received is not a valid answer.
     Broken {
@@ -96,9 +96,13 @@
 
     /// Sends a request and reads the complete answer. The request is sent once: if the connection
     /// turns out to be closed the exchange is broken, and nothing is resent behind the caller's
-    /// back. The memory of the answer's body is accounted for by `held`.
-    pub async fn exchange(&mut self, outgoing: OutgoingRequest, held: HeldMemory) -> ExchangeResult {
-        self.exchange_with_limit(outgoing, MAX_BODY_BYTES, held).await
+    /// back. The answer waits unread until `memory` provides for its body; the body of one that is no success is not
+    /// kept.
+    pub async fn exchange(&mut self, outgoing: OutgoingRequest, memory: &AnswerMemory) -> ExchangeResult {
+        match self.send(outgoing).await {
+            Ok(answer) => self.read_answer(answer, memory).await,
+            Err(broken) => broken,
+        }
     }
 
     /// Like [`Connection::exchange`], for a request that must not be written any further once
@@ -109,7 +113,7 @@
         outgoing: OutgoingRequest,
         write_deadline: impl Future<Output = ()>,
         observer: Rc<dyn WriteObserver>,
-        held: HeldMemory,
+        memory: &AnswerMemory,
     ) -> ExchangeResult {
         let (written, request_end) =
             (self.write_progress.clone(), self.write_progress.written() + outgoing.length);
@@ -122,24 +126,11 @@
         };
         tokio::select! {
             biased;
-            end = self.exchange(outgoing, held) => end,
+            end = self.exchange(outgoing, memory) => end,
             () = aborted => ExchangeResult::Broken { last_byte_written: false },
         }
     }
 
-    /// Like [`Connection::exchange`], with a given limit for the body of the answer (bytes).
-    pub async fn exchange_with_limit(
-        &mut self,
-        outgoing: OutgoingRequest,
-        limit: usize,
-        held: HeldMemory,
-    ) -> ExchangeResult {
-        match self.send(outgoing).await {
-            Ok(answer) => self.read_answer(answer, limit, held).await,
-            Err(broken) => broken,
-        }
-    }
-
     /// Sends a request and waits only for the head of the answer, for streamed answers.
     pub async fn send(&mut self, outgoing: OutgoingRequest) -> Result<Response<Incoming>, ExchangeResult> {
         // The driver may not have noticed yet that the previous answer was the last on this
@@ -159,27 +150,22 @@
         }
     }
 
-    async fn read_answer(
-        &mut self,
-        answer: Response<Incoming>,
-        limit: usize,
-        held: HeldMemory,
-    ) -> ExchangeResult {
+    async fn read_answer(&mut self, answer: Response<Incoming>, memory: &AnswerMemory) -> ExchangeResult {
         let (head, body) = answer.into_parts();
         // Not an answer to our request: status 101 would switch to another protocol, and a body
-        // announced as larger than the platform allows is not waited for.
+        // announced as larger than allowed is not waited for.
         let min_body_length = body.size_hint().lower();
-        if head.status == StatusCode::SWITCHING_PROTOCOLS || min_body_length > limit as u64 {
+        if head.status == StatusCode::SWITCHING_PROTOCOLS || min_body_length > memory.max_body_bytes as u64 {
             return self.broken();
         }
-        // Guards against an endless body: no more is read than the platform allows.
-        match read_body(body, limit, held).await {
-            Ok(body) => {
-                self.request_end = None;
-                ExchangeResult::Answered(head.status, head.headers, body)
-            }
-            Err(_) => self.broken(),
-        }
+        // Guards against an endless body: no more is read than allowed.
+        let body = match head.status {
+            StatusCode::OK => read_success(body, memory).await,
+            _ => discard_body(body, memory.max_body_bytes).await.ok().map(|()| Bytes::new()),
+        };
+        let Some(body) = body else { return self.broken() };
+        self.request_end = None;
+        ExchangeResult::Answered(head.status, head.headers, body)
     }
 
     fn broken(&mut self) -> ExchangeResult {
@@ -191,3 +177,9 @@
         self.request_end.is_none() && self.sender.ready().await.is_ok()
     }
 }
+
+/// Reads the body of a successful answer once there is memory for it.
+async fn read_success(body: Incoming, memory: &AnswerMemory) -> Option<Bytes> {
+    let held = memory.reserve(max_length(&body, memory.max_body_bytes)).await?;
+    read_body(body, memory.max_body_bytes, held).await.ok()
+}
--- a/crates/transport/src/counters.rs
+++ b/crates/transport/src/counters.rs
@@ -15,6 +15,10 @@
     pub clients_longest_wait_ms: Cell<u64>,
     /// Client connections refused because no socket was freed for them in time.
     pub clients_turned_away: Cell<u64>,
+    /// Requests that had to wait for memory before their body was read.
+    pub requests_waited_for_memory: Cell<u64>,
+    /// Requests refused, and own texts not given, because no memory was freed for them in time.
+    pub requests_refused_for_memory: Cell<u64>,
     /// Accepts that failed, for example because descriptors ran out.
     pub accept_errors: Cell<u64>,
     /// Client connections closed with an incomplete request, or without a first request in time.
@@ -60,6 +64,8 @@
             ("clients_waited", &self.clients_waited),
             ("clients_longest_wait_ms", &self.clients_longest_wait_ms),
             ("clients_turned_away", &self.clients_turned_away),
+            ("requests_waited_for_memory", &self.requests_waited_for_memory),
+            ("requests_refused_for_memory", &self.requests_refused_for_memory),
             ("accept_errors", &self.accept_errors),
             ("requests_late", &self.requests_late),
             ("clients_closed_idle", &self.clients_closed_idle),
--- a/crates/transport/src/discovery.rs
+++ b/crates/transport/src/discovery.rs
@@ -1,5 +1,6 @@
 //! Follows the target list by a long-lived watch request to discovery.
 
+use super::answer_memory::AnswerMemory;
 use super::connection::Connection;
 use super::connector::{connect, ConnectError};
 use super::counters::increment;
@@ -185,8 +186,8 @@
     /// Requests the complete list and returns its revision.
     async fn fetch_list(&mut self, connection: &mut Connection, host: &str) -> Result<u64, CallEnd> {
         let request = OutgoingRequest::get(discovery::LIST_PATH, host);
-        let held = self.gateway.memory.hold(MessageKind::List);
-        let fetch = connection.exchange_with_limit(request, MAX_LIST_BYTES, held);
+        let memory = AnswerMemory::of_list(MAX_LIST_BYTES, &self.gateway.memory);
+        let fetch = connection.exchange(request, &memory);
         let answer = tokio::time::timeout(duration_from_ms(ANSWER_TIMEOUT_MS), fetch).await;
         match answer.map_err(|_| CallEnd::NoAnswer)? {
             ExchangeResult::Answered(StatusCode::OK, _, body) => self.apply(&body)?,
--- a/crates/transport/src/gateway.rs
+++ b/crates/transport/src/gateway.rs
@@ -1,10 +1,12 @@
 //! The gateway between routing and the sockets.
 
+use super::answer_memory::{AnswerAllowance, AnswerMemory};
 use super::budget::Budget;
 use super::connection::ExchangeResult;
 use super::connector::{connect, ConnectError};
 use super::counters::{increment, Counters};
 use super::memory::{HeldMemory, MessageKind, MessageMemory};
+use super::memory_budget::{MemoryBudget, Reservation};
 use super::network::{Network, Peek};
 use super::pool::{Pool, PooledConnection};
 use super::{duration_from_ms, AbortOnDrop};
@@ -31,16 +33,32 @@
 
 /// A flow that waits for its answer.
 pub(super) struct PendingFlow {
-    pub(super) request: Rc<ForwardedRequest>,
+    pub(super) request: PendingRequest,
     /// Inspects the client's connection.
     pub(super) peek_client: Peek,
     answer: oneshot::Sender<Answer>,
-    /// Notifies the flow's forwards that no one waits for the answer any more.
-    ended: Rc<Notify>,
     /// Accounts for the memory of the request's head.
     _head: HeldMemory,
 }
 
+/// What the attempts of a flow share.
+#[derive(Clone)]
+pub(super) struct PendingRequest {
+    pub request: Rc<ForwardedRequest>,
+    /// Notifies the flow's forwards that no one waits for the answer any more.
+    pub ended: Rc<Notify>,
+    /// The memory reserved for the flow's answer.
+    pub answer_allowance: AnswerAllowance,
+}
+
+/// The memory reserved for a request when it was admitted.
+pub struct RequestMemory {
+    /// For its head.
+    pub head: Reservation,
+    /// For its answer.
+    pub answer: Reservation,
+}
+
 /// Executes routing's orders on the network and reports the results back to routing.
 pub struct Gateway<N> {
     network: N,
@@ -52,6 +70,8 @@
     pub counters: Counters,
     /// Accounts for the memory that messages hold.
     pub memory: MessageMemory,
+    /// The memory that messages may hold together.
+    pub memory_budget: MemoryBudget,
     pool: RefCell<Pool>,
     target_budget: Budget,
     connect_timeout_ms: f64,
@@ -78,8 +98,15 @@
 
 impl<N: Network> Gateway<N> {
     /// Connects routing's host to a network; `targets` is the socket budget for connections to
-    /// targets.
-    pub fn new(network: N, host: Host, classes: Classes, targets: Budget, now: Now) -> Rc<Gateway<N>> {
+    /// targets, `memory_budget` bounds the messages in hand.
+    pub fn new(
+        network: N,
+        host: Host,
+        classes: Classes,
+        targets: Budget,
+        memory_budget: MemoryBudget,
+        now: Now,
+    ) -> Rc<Gateway<N>> {
         let network_settings = host.settings().network;
         Rc::new(Gateway {
             network,
@@ -88,6 +115,7 @@
             classes,
             counters: Counters::default(),
             memory: MessageMemory::default(),
+            memory_budget,
             pool: RefCell::new(Pool::new(to_millis(network_settings.conn_idle))),
             target_budget: targets,
             connect_timeout_ms: to_millis(network_settings.connect_timeout),
@@ -127,6 +155,7 @@
         self: &Rc<Self>,
         new: NewFlow,
         request: ForwardedRequest,
+        reserved: RequestMemory,
         peek_client: Peek,
     ) -> Option<(FlowId, oneshot::Receiver<Answer>)> {
         if !self.open_request_ids.borrow_mut().insert(request.id.clone()) {
@@ -137,10 +166,14 @@
         let client_id = truncate_client_id(request.id.as_bytes());
         let taken = EventKind::Taken { client_id, class: new.class, time_left: new.time_left };
         self.host.borrow_mut().events.record(self.now(), Some(id), taken);
-        let mut head = self.memory.hold(MessageKind::Head);
+        let mut head = self.memory.hold(MessageKind::Head).with_reservation(reserved.head);
         head.set(request.head_bytes());
-        let (request, ended) = (Rc::new(request), Rc::default());
-        let pending = PendingFlow { request, peek_client, answer, ended, _head: head };
+        let request = PendingRequest {
+            request: Rc::new(request),
+            ended: Rc::default(),
+            answer_allowance: AnswerAllowance::new(reserved.answer),
+        };
+        let pending = PendingFlow { request, peek_client, answer, _head: head };
         self.pending_flows.borrow_mut().insert(id, pending);
         self.execute_orders();
         Some((id, receiver))
@@ -149,8 +182,8 @@
     /// Removes a flow from the pending ones, releases its request id and notifies its forwards.
     fn remove_pending(&self, id: FlowId) -> Option<PendingFlow> {
         let pending = self.pending_flows.borrow_mut().remove(&id)?;
-        self.open_request_ids.borrow_mut().remove(&pending.request.id);
-        pending.ended.notify_waiters();
+        self.open_request_ids.borrow_mut().remove(&pending.request.request.id);
+        pending.request.ended.notify_waiters();
         Some(pending)
     }
 
@@ -306,9 +339,10 @@
     }
 
     /// Prepares for the end of the process: answers all open flows as failed, and likewise all that
-    /// follow. Returns how many were open.
+    /// follow; those that wait for memory are refused. Returns how many were open.
     pub fn shut_down(self: &Rc<Self>) -> usize {
         let open = self.open_flows();
+        self.memory_budget.end_waits();
         self.host.borrow_mut().begin_shutdown(self.now());
         self.execute_orders();
         open
@@ -335,6 +369,8 @@
             ("discovery_list_age_ms", self.host.borrow().list_age(self.now()) as u64),
             ("targets_idle", self.pool.borrow().len() as u64),
             ("targets_open", self.target_budget.used() as u64),
+            ("memory_budget_bytes", self.memory_budget.limit() as u64),
+            ("memory_reserved_bytes", self.memory_budget.reserved() as u64),
         ];
         counts.extend(gauges.map(|(name, count)| (name.to_owned(), count)));
         counts
@@ -408,11 +444,7 @@
     fn execute_order(self: &Rc<Self>, order: Order) {
         match order {
             Order::Forward { id, target, address, timeout } => {
-                let pending = self
-                    .pending_flows
-                    .borrow()
-                    .get(&id.flow)
-                    .map(|flow| (flow.request.clone(), flow.ended.clone()));
+                let pending = self.pending_flows.borrow().get(&id.flow).map(|flow| flow.request.clone());
                 // Routing sends only for flows that it holds open, and those are pending here.
                 let Some(pending) = pending else { return };
                 let deadline = self.now() + timeout;
@@ -442,8 +474,9 @@
         let end = match self.connection_to(target, address, self.connect_timeout_ms).await {
             Err(outcome) => ProbeEnd { outcome, load: None },
             Ok(mut pooled) => {
-                let held = self.memory.hold(MessageKind::Answer);
-                match pooled.connection.exchange(OutgoingRequest::get("/stats", "origin.svc"), held).await {
+                let memory = AnswerMemory::of_budget(&self.memory_budget, &self.memory);
+                let request = OutgoingRequest::get("/stats", "origin.svc");
+                match pooled.connection.exchange(request, &memory).await {
                     ExchangeResult::Answered(status, _, body) => {
                         self.return_to_pool(target, pooled);
                         self.read_probe(status, &body)
--- a/crates/transport/src/lib.rs
+++ b/crates/transport/src/lib.rs
@@ -12,6 +12,7 @@
 #![warn(missing_docs)]
 
 mod acceptor;
+pub mod answer_memory;
 mod attempt;
 pub mod budget;
 mod client_slot;
@@ -26,6 +27,7 @@
 mod gateway;
 pub mod listener;
 pub mod memory;
+pub mod memory_budget;
 mod message_body;
 pub mod network;
 pub mod pool;
--- a/crates/transport/src/listener.rs
+++ b/crates/transport/src/listener.rs
@@ -8,13 +8,16 @@
 use super::counters::increment;
 use super::event_loop_lag::{EventLoopLag, TICK_PERIOD_MS};
 use super::gateway::Gateway;
+use super::gateway::RequestMemory;
 use super::memory::{MessageKind, MAX_HEAD_BYTES};
-use super::message_body::{read_body, BodyError};
+use super::memory_budget::Reservation;
+use super::message_body::{accounted, discard_body, max_length, read_body, BodyError};
 use super::network::Network;
 use super::request_framing::{Framing, RequestTap};
 use super::retrying_stream::RetryingStream;
 use super::tap::TappedStream;
 use super::{duration_from_ms, AbortOnDrop};
+use bytes::Bytes;
 use hyper::body::Incoming as Body;
 use hyper::header::CONNECTION;
 use hyper::server::conn::http1;
@@ -27,11 +30,12 @@
 use roseproxy_platform::request::{exceeds_body_limit, ForwardedRequest, Malformed};
 use roseproxy_platform::MAX_BODY_BYTES;
 use roseproxy_routing::event_log::{CloseReason, EventKind};
-use roseproxy_routing::flow::FlowId;
+use roseproxy_routing::flow::{Answer, FlowId};
 use std::cell::Cell;
 use std::convert::Infallible;
 use std::pin::pin;
 use std::rc::Rc;
+use std::time::Duration;
 use tokio::io::{AsyncRead, AsyncWrite};
 
 /// Minimum of a request's time left for its body if the head arrived late.
@@ -43,6 +47,9 @@
 /// for a while should not be closed under its next request; but some clients keep connections and
 /// never send on them again.
 const IDLE_TIMEOUT_MS: f64 = 90_000.0;
+/// Longest that a request waits for memory, counted from its first byte. The platform takes a request for lost if its
+/// answer comes more than 500 ms after its time, however little time it has.
+const MAX_MEMORY_WAIT_MS: f64 = 400.0;
 /// How long input is still read and discarded after the last answer.
 const LINGER_TIMEOUT_MS: f64 = 300.0;
 /// Time limit for writing the refusal of a client that has no socket; others wait meanwhile.
@@ -52,6 +59,12 @@
 /// Shortest time between two such records, which share the log's limit of lines with others.
 const LONG_WAIT_RECORD_PERIOD_MS: f64 = 30_000.0;
 
+/// Advice to a client whose request was refused for lack of memory (ms).
+const MEMORY_RETRY_AFTER_MS: f64 = 100.0;
+/// Why a request with a body beyond the platform's limit is rejected.
+const TOO_LARGE: Malformed =
+    Malformed { status: StatusCode::PAYLOAD_TOO_LARGE, reason: "the body is too large" };
+
 /// How the listener treats new work.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Phase {
@@ -295,8 +308,9 @@
                 plain_text(StatusCode::OK, "ready\n")
             }
             "/health/ready" => plain_text(StatusCode::SERVICE_UNAVAILABLE, "not ready\n"),
+            // Short, and wanted just when memory is short.
             "/health/counters" => plain_text(StatusCode::OK, (self.render_counters)()),
-            "/health/events" => plain_text(StatusCode::OK, self.gateway.events()),
+            "/health/events" => self.own_text(self.gateway.events()),
             _ => {
                 let flow = self.handle_flow(sent_at, request, &slot).await;
                 flow.unwrap_or_else(|malformed| self.reject(&slot, malformed))
@@ -327,44 +341,109 @@
         request: Request<Body>,
         slot: &ClientSlot,
     ) -> Result<Reply, Malformed> {
-        let too_large = Malformed { status: StatusCode::PAYLOAD_TOO_LARGE, reason: "the body is too large" };
         let (parts, body) = request.into_parts();
         let mut new = self.gateway.classes.read(&parts)?;
         // The client's time limit counts from the moment of sending.
         new.time_left -=
             slot.read_delay.take().max(self.event_loop_lag.possible_read_delay(self.gateway.now()));
         if exceeds_body_limit(&parts.headers) {
-            return Err(too_large);
+            return Err(TOO_LARGE);
         }
         let mut forwarded = ForwardedRequest::new(&parts);
         // The head's values share the read buffer, which would be kept for as long as the flow is open.
         drop(parts);
-        let held = self.gateway.memory.hold(MessageKind::RequestBody);
-        let read = read_body(body, MAX_BODY_BYTES, held);
-        let timeout_ms = (sent_at + REQUEST_TIMEOUT_MS - self.gateway.now()).max(MIN_BODY_TIMEOUT_MS);
-        forwarded.body = match tokio::time::timeout(duration_from_ms(timeout_ms), read).await {
-            Ok(Ok(body)) => body,
-            Ok(Err(BodyError::TooLarge)) => return Err(too_large),
-            Ok(Err(BodyError::Broken)) => {
-                return Err(Malformed { status: StatusCode::BAD_REQUEST, reason: "the body is not whole" })
-            }
-            Err(_) => {
-                return Err(Malformed { status: StatusCode::REQUEST_TIMEOUT, reason: "the body is late" })
-            }
+        let (head_bytes, body_bytes) = (forwarded.head_bytes(), max_length(&body, MAX_BODY_BYTES));
+        let asked_at = self.gateway.now();
+        let total = head_bytes + body_bytes + MAX_BODY_BYTES;
+        let Some(mut reserved) = self.reserve_memory(slot, sent_at, total).await else {
+            return Ok(self.refuse_for_memory(slot, body, sent_at).await);
+        };
+        new.time_left -= self.gateway.now() - asked_at;
+        let memory = RequestMemory {
+            head: reserved.split_off(head_bytes),
+            answer: reserved.split_off(MAX_BODY_BYTES),
         };
-        let (id, answer) = self.gateway.start_flow(new, forwarded, slot.peek.clone()).ok_or(Malformed {
-            status: StatusCode::CONFLICT,
-            reason: "a request with this Request-Id is open",
-        })?;
+        forwarded.body = self.read_request_body(body, sent_at, reserved).await?;
+        let (id, answer) =
+            self.gateway.start_flow(new, forwarded, memory, slot.peek.clone()).ok_or(Malformed {
+                status: StatusCode::CONFLICT,
+                reason: "a request with this Request-Id is open",
+            })?;
         let guard = FlowGuard { gateway: self.gateway.clone(), id };
         slot.open_flow.set(Some(id));
         // Routing answers every flow that it accepted; a missing answer is a failure all the same.
-        let answer = answer.await.unwrap_or(roseproxy_routing::flow::Answer::Failed);
+        let answer = answer.await.unwrap_or(Answer::Failed);
         slot.open_flow.set(None);
         drop(guard);
         Ok(to_reply(answer))
     }
 
+    /// Reserves the memory of a request of which the first byte was sent at `sent_at` (ms). Until there is enough, the
+    /// rest of the request waits unread. Returns `None` if there is not enough in time.
+    async fn reserve_memory(&self, slot: &ClientSlot, sent_at: f64, bytes: usize) -> Option<Reservation> {
+        let budget = &self.gateway.memory_budget;
+        if let Some(reservation) = budget.try_reserve(bytes) {
+            return Some(reservation);
+        }
+        increment(&self.gateway.counters.requests_waited_for_memory);
+        slot.awaiting_memory.set(true);
+        let max_wait = duration_from_ms(sent_at + MAX_MEMORY_WAIT_MS - self.gateway.now());
+        let reservation = tokio::time::timeout(max_wait, budget.reserve(bytes)).await;
+        slot.awaiting_memory.set(false);
+        reservation.ok().flatten()
+    }
+
+    /// Refuses a request for which there is no memory. Its body is read to the end without being kept: a client may
+    /// read its answer only once it has written everything.
+    async fn refuse_for_memory(&self, slot: &ClientSlot, body: Body, sent_at: f64) -> Reply {
+        let discard = discard_body(body, MAX_BODY_BYTES);
+        let discarded = tokio::time::timeout(self.body_timeout(sent_at), discard).await;
+        let mut reply = self.memory_refusal();
+        if !matches!(discarded, Ok(Ok(()))) {
+            slot.may_have_unread_input.set(true);
+            set_connection_close(&mut reply);
+        }
+        reply
+    }
+
+    fn memory_refusal(&self) -> Reply {
+        increment(&self.gateway.counters.requests_refused_for_memory);
+        to_reply(Answer::Refused { retry_after: MEMORY_RETRY_AFTER_MS })
+    }
+
+    /// Time left for the body of a request of which the first byte was sent at `sent_at` (ms).
+    fn body_timeout(&self, sent_at: f64) -> Duration {
+        let timeout_ms = sent_at + REQUEST_TIMEOUT_MS - self.gateway.now();
+        duration_from_ms(timeout_ms.max(MIN_BODY_TIMEOUT_MS))
+    }
+
+    /// Reads the body of a request of which the first byte was sent at `sent_at` (ms) into reserved memory.
+    async fn read_request_body(
+        &self,
+        body: Body,
+        sent_at: f64,
+        reserved: Reservation,
+    ) -> Result<Bytes, Malformed> {
+        let held = self.gateway.memory.hold(MessageKind::RequestBody).with_reservation(reserved);
+        let read = read_body(body, MAX_BODY_BYTES, held);
+        let malformed = |status, reason| Malformed { status, reason };
+        match tokio::time::timeout(self.body_timeout(sent_at), read).await {
+            Ok(Ok(body)) => Ok(body),
+            Ok(Err(BodyError::TooLarge)) => Err(TOO_LARGE),
+            Ok(Err(BodyError::Broken)) => Err(malformed(StatusCode::BAD_REQUEST, "the body is not whole")),
+            Err(_) => Err(malformed(StatusCode::REQUEST_TIMEOUT, "the body is late")),
+        }
+    }
+
+    /// Answers with a text of this sidecar's own, which takes memory until its client has read it.
+    fn own_text(&self, text: String) -> Reply {
+        let Some(reservation) = self.gateway.memory_budget.try_reserve(text.len()) else {
+            return self.memory_refusal();
+        };
+        let held = self.gateway.memory.hold(MessageKind::Answer).with_reservation(reservation);
+        plain_text(StatusCode::OK, accounted(text.into_bytes(), held))
+    }
+
     /// Moves on to the given phase of shutdown.
     pub fn set_phase(&self, phase: Phase) {
         self.phase.set(phase);
--- a/crates/transport/src/memory.rs
+++ b/crates/transport/src/memory.rs
@@ -1,5 +1,7 @@
 //! Accounts for the memory that messages hold, by what they are.
 
+use super::answer_memory::AnswerAllowance;
+use super::memory_budget::Reservation;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::Arc;
 
@@ -45,7 +47,7 @@
     /// Begins to account for a message, which holds nothing yet.
     pub fn hold(&self, kind: MessageKind) -> HeldMemory {
         let index = MESSAGE_KINDS.iter().position(|(known, _)| *known == kind).unwrap_or_default();
-        HeldMemory { memory: self.clone(), index, bytes: 0 }
+        HeldMemory { memory: self.clone(), index, bytes: 0, reservation: None, allowance: None }
     }
 
     /// The memory held by messages of one kind (bytes).
@@ -73,6 +75,10 @@
     /// Index of the message's kind in [`MESSAGE_KINDS`].
     index: usize,
     bytes: usize,
+    /// What is reserved for the message, if it is part of the budget.
+    reservation: Option<Reservation>,
+    /// Where the reservation goes if the message does not become whole.
+    allowance: Option<AnswerAllowance>,
 }
 
 impl HeldMemory {
@@ -85,6 +91,32 @@
         self.bytes = bytes;
     }
 
+    /// Adds what is reserved for the message, returned to the budget on drop.
+    pub(super) fn with_reservation(mut self, reservation: Reservation) -> HeldMemory {
+        self.reservation = Some(reservation);
+        self
+    }
+
+    /// Adds what is reserved for the message, returned to `allowance` unless the message becomes whole.
+    pub(super) fn with_allowance(
+        mut self,
+        reservation: Reservation,
+        allowance: &AnswerAllowance,
+    ) -> HeldMemory {
+        self.allowance = Some(allowance.clone());
+        self.with_reservation(reservation)
+    }
+
+    /// Records that the message is whole and holds this many bytes. What is reserved beyond them is returned to the
+    /// budget.
+    pub(super) fn complete(&mut self, bytes: usize) {
+        self.set(bytes);
+        self.allowance = None;
+        if let Some(reservation) = &mut self.reservation {
+            reservation.shrink_to(bytes);
+        }
+    }
+
     /// Records that a read has brought a part of the message.
     pub fn count_part(&self) {
         self.memory.0[self.index].parts.fetch_add(1, Ordering::Relaxed);
@@ -94,5 +126,8 @@
 impl Drop for HeldMemory {
     fn drop(&mut self) {
         self.set(0);
+        if let (Some(allowance), Some(reservation)) = (self.allowance.take(), self.reservation.take()) {
+            allowance.put_back(reservation);
+        }
     }
 }
--- a/crates/transport/src/message_body.rs
+++ b/crates/transport/src/message_body.rs
@@ -29,6 +29,12 @@
     }
 }
 
+/// Makes a whole body of `content`, accounted for by `held` until nobody keeps it.
+pub(super) fn accounted(content: Vec<u8>, mut held: HeldMemory) -> Bytes {
+    held.complete(content.len());
+    Bytes::from_owner(MessageBody { content, _held: held })
+}
+
 /// Reads a whole body of at most `limit` bytes.
 pub(super) async fn read_body(
     mut body: Incoming,
@@ -53,7 +59,26 @@
         held.count_part();
     }
     content.shrink_to_fit();
-    Ok(Bytes::from_owner(MessageBody { content, _held: held }))
+    Ok(accounted(content, held))
+}
+
+/// Reads a body of at most `limit` bytes to its end without keeping it, after which its connection can be used again.
+pub(super) async fn discard_body(mut body: Incoming, limit: usize) -> Result<(), BodyError> {
+    let mut length = 0;
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|_| BodyError::Broken)?;
+        length += frame.data_ref().map_or(0, Bytes::len);
+        if length > limit {
+            return Err(BodyError::TooLarge);
+        }
+    }
+    Ok(())
+}
+
+/// Longest length that a body can have: the stated one, or `limit`.
+pub(super) fn max_length(body: &Incoming, limit: usize) -> usize {
+    let stated = body.size_hint().exact().and_then(|length| usize::try_from(length).ok());
+    stated.map_or(limit, |length| length.min(limit))
 }
 
 /// Makes room for `length` bytes: for the whole body if its length is stated, and for a share more otherwise.
--- a/crates/transport/tests/connection.rs
+++ b/crates/transport/tests/connection.rs
@@ -5,8 +5,10 @@
 use hyper::Method;
 use quickcheck::{Arbitrary, Gen, QuickCheck, TestResult};
 use roseproxy_platform::request::ForwardedRequest;
+use roseproxy_transport::answer_memory::AnswerMemory;
 use roseproxy_transport::connection::{Connection, ConnectionState, ExchangeResult};
-use roseproxy_transport::memory::{MessageKind, MessageMemory};
+use roseproxy_transport::memory::MessageMemory;
+use roseproxy_transport::memory_budget::MemoryBudget;
 use roseproxy_transport::network::PeekResult;
 use std::rc::Rc;
 use tokio::io::{AsyncReadExt, AsyncWriteExt, DuplexStream};
@@ -15,6 +17,9 @@
 /// Capacity of the pipe between the two ends: small, so that requests are written in parts.
 const PIPE_CAPACITY_BYTES: u64 = 48;
 
+/// Memory for the answer of an exchange: more than any of them needs.
+const MESSAGE_MEMORY_BYTES: usize = 1 << 20;
+
 #[derive(Clone, Debug)]
 enum Step {
     /// Send a request with a body of this length.
@@ -99,9 +104,10 @@
         let outgoing = outgoing.to_target(480.0);
         assert!(outgoing.request.headers().contains_key(CONTENT_LENGTH));
         let (length, mut connection) = (outgoing.length, self.connection.take().expect("idle"));
-        let held = MessageMemory::default().hold(MessageKind::Answer);
+        let memory =
+            AnswerMemory::of_budget(&MemoryBudget::new(MESSAGE_MEMORY_BYTES), &MessageMemory::default());
         self.exchange_task = Some(spawn_local(async move {
-            let exchange = connection.exchange(outgoing, held).await;
+            let exchange = connection.exchange(outgoing, &memory).await;
             (connection, exchange)
         }));
         length
--- a/crates/transport/tests/discovery.rs
+++ b/crates/transport/tests/discovery.rs
@@ -6,6 +6,7 @@
 use roseproxy_routing::Host;
 use roseproxy_transport::budget::Budget;
 use roseproxy_transport::discovery::Watcher;
+use roseproxy_transport::memory_budget::MemoryBudget;
 use roseproxy_transport::network::Tcp;
 use roseproxy_transport::Gateway;
 use std::future::Future;
@@ -56,7 +57,8 @@
         let settings = Settings::default();
         let classes = Classes::new(ProtocolNames::default(), settings.classes.clone());
         let host = Host::new(settings, 5, 0.0);
-        let gateway = Gateway::new(Tcp, host, classes, Budget::new(20), Rc::new(|| 0.0));
+        let gateway =
+            Gateway::new(Tcp, host, classes, Budget::new(20), MemoryBudget::new(1 << 20), Rc::new(|| 0.0));
         assert_eq!(revision(&gateway), Some(0), "no list yet");
         let (_address_sender, address_changes) = watch::channel(address);
         spawn_local(Watcher::new(gateway.clone(), address_changes, None).run());
@@ -76,7 +78,8 @@
         let settings = Settings::default();
         let classes = Classes::new(ProtocolNames::default(), settings.classes.clone());
         let host = Host::new(settings, 5, 0.0);
-        let gateway = Gateway::new(Tcp, host, classes, Budget::new(20), Rc::new(|| 0.0));
+        let gateway =
+            Gateway::new(Tcp, host, classes, Budget::new(20), MemoryBudget::new(1 << 20), Rc::new(|| 0.0));
         let (_address_sender, address_changes) = watch::channel(([127, 0, 0, 1], 9).into());
         let _watcher = Watcher::new(gateway.clone(), address_changes, Some(7));
         assert_eq!(revision(&gateway), Some(7));
