Hold a change of the list once while it arrives on the watch

What callers saw: nothing by itself; a long change took up to three times its length while it arrived and was read.

Cause: `WatchDecoder` doubled its buffer, and copied the line into another one when it was whole.

Change: the buffer grows by an eighth, as those of bodies do (`platform/src/buffer.rs`), and a change on one line is handed on as it is.

--- a/crates/platform/src/discovery.rs
+++ b/crates/platform/src/discovery.rs
@@ -1,5 +1,6 @@
 //! Discovery lists: the target group and its changes, and the framing of the watch that delivers them.
 
+use crate::buffer;
 use crate::list_reader::List;
 use roseproxy_decision::interface::Update;
 use roseproxy_routing::flow::Target;
@@ -54,15 +55,15 @@
     /// Adds received bytes, and calls `on_frame` for each line that has ended.
     pub fn push(&mut self, bytes: &[u8], mut on_frame: impl FnMut(WatchFrame)) {
         for part in bytes.split_inclusive(|b| *b == b'\n') {
-            self.line.extend_from_slice(part);
+            buffer::append(&mut self.line, part);
             if part.ends_with(b"\n") {
-                let line = std::mem::take(&mut self.line);
-                self.end_line(line.trim_ascii(), &mut on_frame);
+                let line = trimmed(std::mem::take(&mut self.line));
+                self.end_line(line, &mut on_frame);
             }
         }
     }
 
-    fn end_line(&mut self, line: &[u8], on_frame: &mut impl FnMut(WatchFrame)) {
+    fn end_line(&mut self, line: Vec<u8>, on_frame: &mut impl FnMut(WatchFrame)) {
         if line.is_empty() {
             return on_frame(if self.object.is_empty() {
                 WatchFrame::Heartbeat
@@ -70,15 +71,18 @@
                 WatchFrame::Partial
             });
         }
-        let opened = net_open_brackets(line);
+        let opened = net_open_brackets(&line);
         // A complete list on a line of its own follows an object that was cut short, whose end will
         // never arrive. The truncated object is passed on as it is, so that it does not hide the list.
-        if !self.object.is_empty() && opened == 0 && line.starts_with(b"{") && read(line).is_ok() {
+        if !self.object.is_empty() && opened == 0 && line.starts_with(b"{") && read(&line).is_ok() {
             on_frame(WatchFrame::Object(std::mem::take(&mut self.object)));
             self.open_brackets = 0;
         }
         self.open_brackets += opened;
-        self.object.extend_from_slice(line);
+        match self.object.is_empty() {
+            true => self.object = line,
+            false => buffer::append(&mut self.object, &line),
+        }
         if self.open_brackets > 0 && self.object.starts_with(b"{") {
             return on_frame(WatchFrame::Partial);
         }
@@ -92,6 +96,14 @@
     }
 }
 
+/// Removes white space around a line, in place.
+fn trimmed(mut line: Vec<u8>) -> Vec<u8> {
+    line.truncate(line.trim_ascii_end().len());
+    let leading = line.len() - line.trim_ascii_start().len();
+    line.drain(..leading);
+    line
+}
+
 /// Opening brackets minus closing brackets in a line, outside of strings. JSON strings cannot span lines.
 fn net_open_brackets(line: &[u8]) -> i64 {
     let (mut open, mut in_string, mut escaped) = (0, false, false);
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -12,6 +12,7 @@
 #![warn(missing_docs)]
 
 pub mod answer;
+pub mod buffer;
 pub mod discovery;
 mod list_reader;
 pub mod load;
--- a/crates/roseproxy/tests/message_memory.rs
+++ b/crates/roseproxy/tests/message_memory.rs
@@ -28,7 +28,7 @@
 /// Messages that arrive side by side.
 const MESSAGES: usize = 10;
 /// Length of each body.
-const BODY_BYTES: usize = 32_000;
+const BODY_BYTES: usize = 40_960;
 /// Bytes of a body in one write.
 const PART_BYTES: usize = 256;
 /// Bytes of a body in one chunk.
@@ -216,6 +216,19 @@
     }
 }
 
+/// Guards against a change of the list that is held more than once while it arrives on the watch.
+#[test]
+fn a_change_in_many_parts_holds_no_more_than_its_bytes() {
+    run_counting(async {
+        let (discovery, address) = bind_port().await;
+        let (_endpoint, endpoint_address) = bind_port().await;
+        let sidecar = start_sidecar_with_room(endpoint_address).await;
+        start_watch(&sidecar, address, Some(1));
+        let mut streams = [accept_watch(&discovery).await];
+        write_all_but_the_last_part(&sidecar, &mut streams, Framing::Chunks, MessageKind::List).await;
+    });
+}
+
 /// Guards against read buffers that the head of a request keeps until the request has been answered.
 #[test]
 fn a_request_does_not_keep_the_read_buffer_of_its_head() {
@@ -265,7 +278,7 @@
 fn connections_keep_no_large_read_buffers_after_long_answers() {
     run_counting(async {
         let after_short_answers = bytes_kept_per_connection(10).await;
-        let after_long_answers = bytes_kept_per_connection(BODY_BYTES * 2).await;
+        let after_long_answers = bytes_kept_per_connection(MAX_BODY_BYTES).await;
         let difference = after_long_answers.saturating_sub(after_short_answers);
         assert!(
             difference <= READ_BUFFER_BYTES,
--- a/crates/transport/src/message_body.rs
+++ b/crates/transport/src/message_body.rs
@@ -4,9 +4,7 @@
 use bytes::Bytes;
 use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
-
-/// A body of unknown length gets room for this part of its length more when it has none left.
-const GROWTH_DIVISOR: usize = 8;
+use roseproxy_platform::buffer;
 
 /// Why a body could not be read.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -41,7 +39,7 @@
     limit: usize,
     mut held: HeldMemory,
 ) -> Result<Bytes, BodyError> {
-    let stated_length = body.size_hint().exact().and_then(|length| usize::try_from(length).ok());
+    let stated_length = stated_length(&body).unwrap_or(0).min(limit);
     let mut content = Vec::new();
     while let Some(frame) = body.frame().await {
         let frame = frame.map_err(|_| BodyError::Broken)?;
@@ -53,8 +51,10 @@
         }
         // Each part is copied, as it shares hyper's read buffer, which is used again only once nobody keeps a part
         // of it.
-        reserve(&mut content, length, stated_length.unwrap_or(0).min(limit));
-        content.extend_from_slice(&part);
+        if content.capacity() == 0 {
+            content.reserve_exact(stated_length);
+        }
+        buffer::append(&mut content, &part);
         held.set(length);
         held.count_part();
     }
@@ -77,16 +77,9 @@
 
 /// Longest length that a body can have: the stated one, or `limit`.
 pub(super) fn max_length(body: &Incoming, limit: usize) -> usize {
-    let stated = body.size_hint().exact().and_then(|length| usize::try_from(length).ok());
-    stated.map_or(limit, |length| length.min(limit))
+    stated_length(body).map_or(limit, |length| length.min(limit))
 }
 
-/// Makes room for `length` bytes: for the whole body if its length is stated, and for a share more otherwise.
-fn reserve(content: &mut Vec<u8>, length: usize, stated_length: usize) {
-    if length <= content.capacity() {
-        return;
-    }
-    let grown = content.capacity() + content.capacity() / GROWTH_DIVISOR;
-    let capacity = length.max(if stated_length > 0 { stated_length } else { grown });
-    content.reserve_exact(capacity - content.len());
+fn stated_length(body: &Incoming) -> Option<usize> {
+    body.size_hint().exact().and_then(|length| usize::try_from(length).ok())
 }
