Take memory back from half requests that stay while another request waits for it

Change: a request that waits for memory has the connection closed that holds some for a body that has stopped arriving, by the rule for client sockets: the longest quiet one, quiet for 300 ms less what the request has waited, those that go on writing last. It gets a 503.

Measured: `half_requests_that_stay_do_not_keep_memory_from_others` fails without the choice ('those who stay: HTTP/1.1 503'); a client that goes on writing keeps its memory. The tests of full client sockets pass as before.

--- a/crates/roseproxy/tests/memory_budget.rs
+++ b/crates/roseproxy/tests/memory_budget.rs
@@ -9,6 +9,7 @@
 use std::time::Duration;
 use tokio::io::AsyncWriteExt;
 use tokio::net::{TcpListener, TcpStream};
+use tokio::task::spawn_local;
 use tokio::time::{sleep, timeout};
 
 /// An answer that comes later than this after the time of its request counts as none.
@@ -196,6 +197,41 @@
     }
 }
 
+/// Guards against requests that are refused because clients that stopped in the middle of theirs hold all memory. One that
+/// goes on writing keeps its memory, and the request that waits is refused.
+#[test]
+fn half_requests_that_stay_do_not_keep_memory_from_others() {
+    for (what, goes_on, expected) in [("stay", false, "HTTP/1.1 200"), ("go on", true, "HTTP/1.1 503")] {
+        run_paused(async {
+            let (endpoint, address) = bind_port().await;
+            count_requests(endpoint);
+            let sidecar = start_sidecar(&[address], ROOM).await;
+            let body = "x".repeat(MAX_BODY_BYTES);
+            let request = request_text("place-order", "half", &body);
+            let (half, _) = request.split_at(request.len() - MAX_BODY_BYTES / 2);
+            let mut client = connect_and_send(sidecar.address, half).await;
+            sleep(SETTLING_TIME).await;
+            let _others = take_all_memory(&sidecar);
+            let writes = spawn_local(async move {
+                let bytes_to_write = if goes_on { MAX_BODY_BYTES / 2 - 1 } else { 0 };
+                for _ in 0..bytes_to_write {
+                    sleep(Duration::from_millis(5)).await;
+                    client.write_all(b"x").await.expect("the sidecar reads");
+                }
+                // The connection stays open.
+                std::future::pending::<()>().await;
+                drop(client);
+            });
+            let mut usual = TcpStream::connect(sidecar.address).await.expect("connects");
+            let usual_request = request_text("place-order", "usual", "b");
+            let answer = timeout(LATE_ANSWER_ALLOWANCE, exchange(&mut usual, &usual_request)).await;
+            let answer = answer.unwrap_or_else(|_| panic!("those who {what}: no answer in time"));
+            assert!(answer.starts_with(expected), "those who {what}: {answer}");
+            writes.abort();
+        });
+    }
+}
+
 /// At whatever point an exchange ends, nothing stays reserved.
 #[test]
 fn memory_is_returned_however_a_request_ends() {
--- a/crates/transport/src/client_slot.rs
+++ b/crates/transport/src/client_slot.rs
@@ -66,6 +66,8 @@
     pub open_flow: Cell<Option<FlowId>>,
     /// Whether a request, which may be whole, waits unread until there is memory for it.
     pub awaiting_memory: Cell<bool>,
+    /// Whether memory has been set aside for a request whose body is still being read.
+    pub reading_body: Cell<bool>,
     /// Whether to close the connection as soon as it is unused, or after the next answer.
     pub close_requested: Cell<bool>,
     /// What the socket was used for when the connection, which had no complete request, was chosen
@@ -99,6 +101,7 @@
             incoming: Rc::default(),
             open_flow: Cell::new(None),
             awaiting_memory: Cell::new(false),
+            reading_body: Cell::new(false),
             close_requested: Cell::new(false),
             eviction_requested: Cell::new(None),
             draining_since: Cell::new(None),
--- a/crates/transport/src/client_slots.rs
+++ b/crates/transport/src/client_slots.rs
@@ -1,13 +1,16 @@
 //! The client sockets: which connections hold them, and which one is closed if a client waits for
-//! one.
+//! one, or for memory.
 
 use super::budget::{Budget, Permit};
 use super::client_slot::{ClientSlot, Occupancy};
 use super::duration_from_ms;
+use super::memory_budget::Reservation;
 use roseproxy_routing::event_log::SocketUse;
 use roseproxy_routing::time::Now;
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
+use std::future::Future;
+use std::pin::pin;
 use std::rc::Rc;
 use tokio::sync::Notify;
 
@@ -22,7 +25,7 @@
 /// A request arrives steadily while its client has been silent for at most this many times the
 /// longest pause so far.
 const STEADY_PAUSE_FACTOR: f64 = 2.0;
-/// Longest wait of a client for a socket. The platform takes a request for lost if its answer comes
+/// Longest wait of a client for a socket or of a request for memory. The platform takes a request for lost if its answer comes
 /// more than 500 ms after its time, however little time it has.
 const MAX_WAIT_MS: f64 = 400.0;
 /// Period at which another connection is chosen while a client waits for a socket.
@@ -70,6 +73,12 @@
         Some(EvictionCandidate { class, quiet_since, slot: slot.clone() })
     }
 
+    /// Whether closing the connection frees memory that was set aside for the rest of its request.
+    fn holds_memory(&self) -> bool {
+        let incomplete = matches!(self.class, EvictionClass::Incomplete | EvictionClass::Steady);
+        incomplete && self.slot.reading_body.get()
+    }
+
     /// How long the connection has to be quiet before it is closed for a client that has waited for
     /// `waited_ms`.
     fn required_quiet_ms(&self, waited_ms: f64) -> f64 {
@@ -134,7 +143,7 @@
                 return Some(permit);
             }
             let now = (self.now)();
-            match self.choose_eviction(now, now - waiting_since) {
+            match self.choose_eviction(now, now - waiting_since, |_| true) {
                 Some(slot) => slot.request_eviction(),
                 None if now - waiting_since >= MAX_WAIT_MS => return None,
                 None => {}
@@ -145,6 +154,30 @@
         }
     }
 
+    /// Waits for memory for a request of which the first byte was sent at `waiting_since` (ms). Closes connections that hold
+    /// memory for a request that has stopped arriving. Returns `None` if the request has waited for too long.
+    pub async fn make_room_in_memory(
+        &self,
+        waiting_since: f64,
+        reserve: impl Future<Output = Option<Reservation>>,
+    ) -> Option<Reservation> {
+        let mut reserve = pin!(reserve);
+        loop {
+            let now = (self.now)();
+            let waited_ms = now - waiting_since;
+            if waited_ms >= MAX_WAIT_MS {
+                return None;
+            }
+            if let Some(slot) = self.choose_eviction(now, waited_ms, EvictionCandidate::holds_memory) {
+                slot.request_eviction();
+            }
+            let period = duration_from_ms(EVICTION_PERIOD_MS.min(MAX_WAIT_MS - waited_ms));
+            if let Ok(reservation) = tokio::time::timeout(period, &mut reserve).await {
+                return reservation;
+            }
+        }
+    }
+
     /// Records a connection that holds a socket.
     pub fn occupy(self: &Rc<Self>, slot: ClientSlot, permit: Permit) -> OccupiedSlot {
         let (id, slot) = (self.last_id.get() + 1, Rc::new(slot));
@@ -181,15 +214,21 @@
         socket_use
     }
 
-    /// Chooses the connection to close for a client that has waited for `waited_ms`: of the first
-    /// class that has any, the one that has been quiet longest. Connections of a later class are
+    /// Chooses the connection to close for a client that has waited for `waited_ms`, among those that
+    /// `frees_what_is_needed`: of the first class that has any, the one that has been quiet longest. Connections of a later class are
     /// spared even if they have been quiet for longer, as those of the first class can be closed
     /// soon. Unread input may complete a request; on an idle connection it is answered before the
     /// close.
-    fn choose_eviction(&self, now: f64, waited_ms: f64) -> Option<Rc<ClientSlot>> {
+    fn choose_eviction(
+        &self,
+        now: f64,
+        waited_ms: f64,
+        frees_what_is_needed: impl Fn(&EvictionCandidate) -> bool,
+    ) -> Option<Rc<ClientSlot>> {
         let slots = self.slots.borrow();
         let mut candidates: Vec<_> =
             slots.values().filter_map(|slot| EvictionCandidate::new(slot, now)).collect();
+        candidates.retain(frees_what_is_needed);
         let first_class = candidates.iter().map(|candidate| candidate.class).min()?;
         candidates.retain(|candidate| candidate.class == first_class);
         candidates.sort_by(|a, b| a.quiet_since.total_cmp(&b.quiet_since));
--- a/crates/transport/src/listener.rs
+++ b/crates/transport/src/listener.rs
@@ -47,9 +47,6 @@
 /// for a while should not be closed under its next request; but some clients keep connections and
 /// never send on them again.
 const IDLE_TIMEOUT_MS: f64 = 90_000.0;
-/// Longest that a request waits for memory, counted from its first byte. The platform takes a request for lost if its
-/// answer comes more than 500 ms after its time, however little time it has.
-const MAX_MEMORY_WAIT_MS: f64 = 400.0;
 /// How long input is still read and discarded after the last answer.
 const LINGER_TIMEOUT_MS: f64 = 300.0;
 /// Time limit for writing the refusal of a client that has no socket; others wait meanwhile.
@@ -363,7 +360,10 @@
             head: reserved.split_off(head_bytes),
             answer: reserved.split_off(MAX_BODY_BYTES),
         };
-        forwarded.body = self.read_request_body(body, sent_at, reserved).await?;
+        slot.reading_body.set(true);
+        let body = self.read_request_body(body, sent_at, reserved).await;
+        slot.reading_body.set(false);
+        forwarded.body = body?;
         let (id, answer) =
             self.gateway.start_flow(new, forwarded, memory, slot.peek.clone()).ok_or(Malformed {
                 status: StatusCode::CONFLICT,
@@ -387,10 +387,9 @@
         }
         increment(&self.gateway.counters.requests_waited_for_memory);
         slot.awaiting_memory.set(true);
-        let max_wait = duration_from_ms(sent_at + MAX_MEMORY_WAIT_MS - self.gateway.now());
-        let reservation = tokio::time::timeout(max_wait, budget.reserve(bytes)).await;
+        let reservation = self.slots.make_room_in_memory(sent_at, budget.reserve(bytes)).await;
         slot.awaiting_memory.set(false);
-        reservation.ok().flatten()
+        reservation
     }
 
     /// Refuses a request for which there is no memory. Its body is read to the end without being kept: a client may
