Move a flow's record and probes out of the gateway; a socket's permit frees itself

Change: modules `pending_flow` and `probe`; the permit is a plain field; the comment says what is counted. No change of behaviour.

--- a/crates/transport/src/attempt.rs
+++ b/crates/transport/src/attempt.rs
@@ -3,8 +3,9 @@
 use super::answer_memory::AnswerMemory;
 use super::connection::ExchangeResult;
 use super::duration_from_ms;
-use super::gateway::{Gateway, PendingRequest};
+use super::gateway::Gateway;
 use super::network::{Network, PeekResult};
+use super::pending_flow::PendingRequest;
 use super::pool::PooledConnection;
 use super::write_progress::{WriteObserver, WriteStage};
 use roseproxy_decision::interface::{Load, Outcome, ServerId};
--- a/crates/transport/src/client_slots.rs
+++ b/crates/transport/src/client_slots.rs
@@ -106,13 +106,13 @@
     id: u64,
     /// The record of the connection.
     pub slot: Rc<ClientSlot>,
-    permit: Option<Permit>,
+    /// Freed after the slot is removed, and before whoever waits for it runs.
+    _permit: Permit,
 }
 
 impl Drop for OccupiedSlot {
     fn drop(&mut self) {
         self.slots.slots.borrow_mut().remove(&self.id);
-        self.permit = None;
         self.slots.freed.notify_one();
     }
 }
@@ -183,7 +183,7 @@
         let (id, slot) = (self.last_id.get() + 1, Rc::new(slot));
         self.last_id.set(id);
         self.slots.borrow_mut().insert(id, slot.clone());
-        OccupiedSlot { slots: self.clone(), id, slot, permit: Some(permit) }
+        OccupiedSlot { slots: self.clone(), id, slot, _permit: permit }
     }
 
     /// Whether no connection holds a socket.
--- a/crates/transport/src/counters.rs
+++ b/crates/transport/src/counters.rs
@@ -46,7 +46,7 @@
 }
 
 impl Counters {
-    /// Counts a client connection that has got a socket after waiting for one.
+    /// Counts a client connection that has waited for a socket, whether or not it got one.
     pub(super) fn count_wait(&self, waited_ms: f64) {
         increment(&self.clients_waited);
         self.clients_longest_wait_ms.set(self.clients_longest_wait_ms.get().max(waited_ms as u64));
--- a/crates/transport/src/gateway.rs
+++ b/crates/transport/src/gateway.rs
@@ -1,23 +1,21 @@
 //! The gateway between routing and the sockets.
 
-use super::answer_memory::{AnswerAllowance, AnswerMemory};
+use super::answer_memory::AnswerAllowance;
 use super::budget::Budget;
-use super::connection::ExchangeResult;
 use super::connector::{connect, ConnectError};
 use super::counters::{increment, Counters};
-use super::memory::{HeldMemory, MessageKind, MessageMemory};
-use super::memory_budget::{MemoryBudget, Reservation};
+use super::memory::{MessageKind, MessageMemory};
+use super::memory_budget::MemoryBudget;
 use super::network::{Network, Peek};
+use super::pending_flow::{PendingFlow, PendingRequest, RequestMemory};
 use super::pool::{Pool, PooledConnection};
 use super::{duration_from_ms, AbortOnDrop};
 use hyper::header::HeaderValue;
-use hyper::StatusCode;
 use roseproxy_decision::interface::{Outcome, ServerId, Update};
-use roseproxy_platform::load;
-use roseproxy_platform::request::{Classes, ForwardedRequest, OutgoingRequest};
+use roseproxy_platform::request::{Classes, ForwardedRequest};
 use roseproxy_routing::discovery::{CallEnd, DiscoveryEvent};
 use roseproxy_routing::event_log::{truncate_client_id, Activity, CloseReason, EventKind, Sink};
-use roseproxy_routing::flow::{Answer, FlowId, ForwardId, NewFlow, Order, ProbeEnd, Target};
+use roseproxy_routing::flow::{Answer, FlowId, ForwardId, NewFlow, Order, Target};
 use roseproxy_routing::invariants::Violation;
 use roseproxy_routing::start_times::{Clocks, ListSource, StartTimes};
 use roseproxy_routing::time::{to_millis, Now};
@@ -31,34 +29,6 @@
 /// Period at which expired idle connections are closed.
 const IDLE_SWEEP_PERIOD_MS: f64 = 250.0;
 
-/// A flow that waits for its answer.
-pub(super) struct PendingFlow {
-    pub(super) request: PendingRequest,
-    /// Inspects the client's connection.
-    pub(super) peek_client: Peek,
-    answer: oneshot::Sender<Answer>,
-    /// Accounts for the memory of the request's head.
-    _head: HeldMemory,
-}
-
-/// What the attempts of a flow share.
-#[derive(Clone)]
-pub(super) struct PendingRequest {
-    pub request: Rc<ForwardedRequest>,
-    /// Notifies the flow's forwards that no one waits for the answer any more.
-    pub ended: Rc<Notify>,
-    /// The memory reserved for the flow's answer.
-    pub answer_allowance: AnswerAllowance,
-}
-
-/// The memory reserved for a request when it was admitted.
-pub struct RequestMemory {
-    /// For its head.
-    pub head: Reservation,
-    /// For its answer.
-    pub answer: Reservation,
-}
-
 /// Executes routing's orders on the network and reports the results back to routing.
 pub struct Gateway<N> {
     network: N,
@@ -74,12 +44,12 @@
     pub memory_budget: MemoryBudget,
     pool: RefCell<Pool>,
     target_budget: Budget,
-    connect_timeout_ms: f64,
+    pub(super) connect_timeout_ms: f64,
     pub(super) pending_flows: RefCell<HashMap<FlowId, PendingFlow>>,
     /// Request ids, as sent by the clients, of the pending flows.
     open_request_ids: RefCell<HashSet<HeaderValue>>,
     pub(super) forwards: RefCell<HashMap<ForwardId, AbortOnDrop>>,
-    probes: RefCell<HashMap<ServerId, AbortOnDrop>>,
+    pub(super) probes: RefCell<HashMap<ServerId, AbortOnDrop>>,
     /// When the timer task will wake; infinite while no timer is set.
     timer_wakes_at: Cell<f64>,
     /// Wakes the timer task before that time.
@@ -470,37 +440,6 @@
         }
     }
 
-    async fn probe(self: Rc<Self>, target: ServerId, address: SocketAddr) {
-        let end = match self.connection_to(target, address, self.connect_timeout_ms).await {
-            Err(outcome) => ProbeEnd { outcome, load: None },
-            Ok(mut pooled) => {
-                let memory = AnswerMemory::of_budget(&self.memory_budget, &self.memory);
-                let request = OutgoingRequest::get("/stats", "origin.svc");
-                match pooled.connection.exchange(request, &memory).await {
-                    ExchangeResult::Answered(status, _, body) => {
-                        self.return_to_pool(target, pooled);
-                        self.read_probe(status, &body)
-                    }
-                    ExchangeResult::Broken { .. } => ProbeEnd { outcome: Outcome::Broken, load: None },
-                }
-            }
-        };
-        self.timed(Activity::ProbeEnd, |host, now| host.probe_ended(now, target, end));
-        self.execute_orders();
-        self.probes.borrow_mut().remove(&target);
-    }
-
-    fn read_probe(&self, status: StatusCode, body: &[u8]) -> ProbeEnd {
-        if status != StatusCode::OK {
-            return ProbeEnd { outcome: Outcome::Rejected, load: None };
-        }
-        let load = std::str::from_utf8(body).ok().and_then(load::read);
-        if load.is_none() {
-            increment(&self.counters.reports_unread);
-        }
-        ProbeEnd { outcome: Outcome::Served, load }
-    }
-
     /// Returns a connection to a target: a pooled one, or a new one if the budget allows. The error
     /// tells what the failure means for the target; a local shortage of descriptors says nothing
     /// about it.
--- a/crates/transport/src/lib.rs
+++ b/crates/transport/src/lib.rs
@@ -30,7 +30,9 @@
 pub mod memory_budget;
 mod message_body;
 pub mod network;
+mod pending_flow;
 pub mod pool;
+mod probe;
 pub mod request_framing;
 mod retrying_stream;
 mod tap;
@@ -39,6 +41,7 @@
 pub use connector::connect;
 pub use counters::Counters;
 pub use gateway::Gateway;
+pub use pending_flow::RequestMemory;
 
 use tokio::task::{AbortHandle, JoinHandle};
 
