Read parts of bodies in one loop, name kinds of messages directly, share a test's set-up

Cause: `read_body` and `discard_body` each had the loop with the limit; `MessageMemory::hold` searched a table for the place of a kind at every message; five tests of the memory budget set up the same sidecar by hand.

Change: `read_parts`, which both call; the kind itself is the index; `start_without_memory`. What the program does and what the tests assert is unchanged.

--- a/crates/roseproxy/tests/memory_budget.rs
+++ b/crates/roseproxy/tests/memory_budget.rs
@@ -6,6 +6,8 @@
 use common::*;
 use roseproxy_platform::MAX_BODY_BYTES;
 use roseproxy_transport::memory_budget::Reservation;
+use std::cell::Cell;
+use std::rc::Rc;
 use std::time::Duration;
 use tokio::io::AsyncWriteExt;
 use tokio::net::{TcpListener, TcpStream};
@@ -25,6 +27,16 @@
     budget.try_reserve(budget.limit() - budget.reserved()).expect("nobody waits")
 }
 
+/// Starts a sidecar whose memory for messages is all taken, before an endpoint that answers at once; returns it with the
+/// number of requests that reach the endpoint and with the memory.
+async fn start_without_memory(clients: usize) -> (Sidecar, Rc<Cell<usize>>, Reservation) {
+    let (endpoint, address) = bind_port().await;
+    let received = count_requests(endpoint);
+    let sidecar = start_sidecar(&[address], clients).await;
+    let others = take_all_memory(&sidecar);
+    (sidecar, received, others)
+}
+
 fn reserved(sidecar: &Sidecar) -> usize {
     sidecar.gateway.memory_budget.reserved()
 }
@@ -67,10 +79,7 @@
 fn a_request_waits_unread_until_there_is_memory_for_it() {
     for (what, request) in hasty_requests() {
         run_paused(async {
-            let (endpoint, address) = bind_port().await;
-            let received = count_requests(endpoint);
-            let sidecar = start_sidecar(&[address], ROOM).await;
-            let others = take_all_memory(&sidecar);
+            let (sidecar, received, others) = start_without_memory(ROOM).await;
             let request = request.replace("Request-Timeout: 0.05", "Request-Timeout: 50");
             let mut client = connect_and_send(sidecar.address, &request).await;
             sleep(SETTLING_TIME).await;
@@ -87,10 +96,7 @@
 fn a_request_for_which_no_memory_is_freed_is_refused_in_time() {
     for (what, request) in hasty_requests() {
         run_paused(async {
-            let (endpoint, address) = bind_port().await;
-            let received = count_requests(endpoint);
-            let sidecar = start_sidecar(&[address], ROOM).await;
-            let others = take_all_memory(&sidecar);
+            let (sidecar, received, others) = start_without_memory(ROOM).await;
             let mut client = connect_and_send(sidecar.address, &request).await;
             let answer =
                 timeout(Duration::from_millis(50) + LATE_ANSWER_ALLOWANCE, read_message(&mut client)).await;
@@ -112,10 +118,7 @@
 #[test]
 fn a_slow_request_for_which_no_memory_is_freed_is_refused_once_it_is_written() {
     run_paused(async {
-        let (endpoint, address) = bind_port().await;
-        let received = count_requests(endpoint);
-        let sidecar = start_sidecar(&[address], ROOM).await;
-        let _others = take_all_memory(&sidecar);
+        let (sidecar, received, _others) = start_without_memory(ROOM).await;
         let parts = 20;
         let body = "x".repeat(MAX_BODY_BYTES / parts);
         let head = request_text("place-order", "slow", "")
@@ -137,10 +140,7 @@
 #[test]
 fn a_request_that_waits_for_memory_keeps_its_socket() {
     run_paused(async {
-        let (endpoint, address) = bind_port().await;
-        count_requests(endpoint);
-        let sidecar = start_sidecar(&[address], 1).await;
-        let others = take_all_memory(&sidecar);
+        let (sidecar, _, others) = start_without_memory(1).await;
         let mut client = connect_and_send(sidecar.address, &request_text("quote", "waits", "")).await;
         sleep(SETTLING_TIME).await;
         let _other = connect_and_send(sidecar.address, &request_text("quote", "other", "")).await;
@@ -275,10 +275,7 @@
 #[test]
 fn a_request_that_waits_for_memory_is_refused_when_the_process_is_about_to_end() {
     run_paused(async {
-        let (endpoint, address) = bind_port().await;
-        count_requests(endpoint);
-        let sidecar = start_sidecar(&[address], ROOM).await;
-        let _others = take_all_memory(&sidecar);
+        let (sidecar, _, _others) = start_without_memory(ROOM).await;
         let mut client = connect_and_send(sidecar.address, &request_text("place-order", "waits", "b")).await;
         sleep(SETTLING_TIME).await;
         sidecar.gateway.shut_down();
--- a/crates/transport/src/memory.rs
+++ b/crates/transport/src/memory.rs
@@ -22,7 +22,7 @@
     List,
 }
 
-/// All kinds with their names in the counters.
+/// All kinds with their names in the counters, in the order of [`MessageKind`].
 const MESSAGE_KINDS: [(MessageKind, &str); 4] = [
     (MessageKind::RequestBody, "request_bodies"),
     (MessageKind::Answer, "answers"),
@@ -46,14 +46,16 @@
 impl MessageMemory {
     /// Begins to account for a message, which holds nothing yet.
     pub fn hold(&self, kind: MessageKind) -> HeldMemory {
-        let index = MESSAGE_KINDS.iter().position(|(known, _)| *known == kind).unwrap_or_default();
-        HeldMemory { memory: self.clone(), index, bytes: 0, reservation: None, allowance: None }
+        HeldMemory { memory: self.clone(), kind, bytes: 0, reservation: None, allowance: None }
     }
 
     /// The memory held by messages of one kind (bytes).
     pub fn held(&self, kind: MessageKind) -> usize {
-        let usage = MESSAGE_KINDS.iter().zip(&*self.0).find(|((known, _), _)| *known == kind);
-        usage.map_or(0, |(_, usage)| usage.held.load(Ordering::Relaxed))
+        self.usage(kind).held.load(Ordering::Relaxed)
+    }
+
+    fn usage(&self, kind: MessageKind) -> &Usage {
+        &self.0[kind as usize]
     }
 
     /// The figures of all kinds with their names.
@@ -72,8 +74,7 @@
 #[derive(Debug)]
 pub struct HeldMemory {
     memory: MessageMemory,
-    /// Index of the message's kind in [`MESSAGE_KINDS`].
-    index: usize,
+    kind: MessageKind,
     bytes: usize,
     /// What is reserved for the message, if it is part of the budget.
     reservation: Option<Reservation>,
@@ -87,7 +88,7 @@
         if bytes == self.bytes {
             return;
         }
-        let usage = &self.memory.0[self.index];
+        let usage = self.memory.usage(self.kind);
         usage.held.fetch_add(bytes, Ordering::Relaxed);
         let held = usage.held.fetch_sub(self.bytes, Ordering::Relaxed) - self.bytes;
         usage.peak.fetch_max(held, Ordering::Relaxed);
@@ -122,7 +123,7 @@
 
     /// Records that a read has brought a part of the message.
     pub fn count_part(&self) {
-        self.memory.0[self.index].parts.fetch_add(1, Ordering::Relaxed);
+        self.memory.usage(self.kind).parts.fetch_add(1, Ordering::Relaxed);
     }
 }
 
--- a/crates/transport/src/message_body.rs
+++ b/crates/transport/src/message_body.rs
@@ -35,42 +35,46 @@
 
 /// Reads a whole body of at most `limit` bytes.
 pub(super) async fn read_body(
-    mut body: Incoming,
+    body: Incoming,
     limit: usize,
     mut held: HeldMemory,
 ) -> Result<Bytes, BodyError> {
     let stated_length = stated_length(&body).unwrap_or(0).min(limit);
     let mut content = Vec::new();
-    while let Some(frame) = body.frame().await {
-        let frame = frame.map_err(|_| BodyError::Broken)?;
-        // Trailers are not passed on.
-        let Ok(part) = frame.into_data() else { continue };
-        let length = content.len() + part.len();
-        if length > limit {
-            return Err(BodyError::TooLarge);
-        }
-        // Each part is copied, as it shares hyper's read buffer, which is used again only once nobody keeps a part
-        // of it.
+    // Each part is copied, as it shares hyper's read buffer, which is used again only once nobody keeps a part of it.
+    read_parts(body, limit, |part| {
         if content.capacity() == 0 {
             content.reserve_exact(stated_length);
         }
-        buffer::append(&mut content, &part);
-        held.set(length);
+        buffer::append(&mut content, part);
+        held.set(content.len());
         held.count_part();
-    }
+    })
+    .await?;
     content.shrink_to_fit();
     Ok(accounted(content, held))
 }
 
 /// Reads a body of at most `limit` bytes to its end without keeping it, after which its connection can be used again.
-pub(super) async fn discard_body(mut body: Incoming, limit: usize) -> Result<(), BodyError> {
+pub(super) async fn discard_body(body: Incoming, limit: usize) -> Result<(), BodyError> {
+    read_parts(body, limit, |_| {}).await
+}
+
+/// Reads a body of at most `limit` bytes to its end, and passes on each part of it. Trailers are not passed on.
+async fn read_parts(
+    mut body: Incoming,
+    limit: usize,
+    mut on_part: impl FnMut(&[u8]),
+) -> Result<(), BodyError> {
     let mut length = 0;
     while let Some(frame) = body.frame().await {
         let frame = frame.map_err(|_| BodyError::Broken)?;
-        length += frame.data_ref().map_or(0, Bytes::len);
+        let Ok(part) = frame.into_data() else { continue };
+        length += part.len();
         if length > limit {
             return Err(BodyError::TooLarge);
         }
+        on_part(&part);
     }
     Ok(())
 }
