Draw random numbers by seed and name, so that sidecars with equal seeds are not in step

Their first calls to discovery came within 12 ms of each other, those that it turned away called again within 12 ms of each other, and each application's first request went to s-2, the second to s-3.

Cause: Host::new got the seed of the configuration as it stands.

Change: the seed is mixed with the sidecar's name. Equal configurations still draw equal numbers.

Test: sidecars_with_equal_seeds_draw_different_numbers; it wants sidecar_seed, so the code before has no form of it to fail on.

--- a/crates/roseproxy/src/config.rs
+++ b/crates/roseproxy/src/config.rs
@@ -2,7 +2,7 @@
 
 use roseproxy_decision::interface::Settings;
 use roseproxy_platform::discovery::{self, ListUpdate};
-use roseproxy_platform::wire::{read_settings, ProtocolNames};
+use roseproxy_platform::wire::{name_hash, read_settings, ProtocolNames};
 use serde_json::Value;
 use std::fmt;
 use std::io;
@@ -151,6 +151,12 @@
         all.as_object_mut().and_then(|all| all.remove("known"));
         Ok(Config { file: all, ..config })
     }
+
+    /// Seed of this sidecar's own random numbers. Sidecars may be given equal seeds, as by a copied file;
+    /// with equal numbers they would call discovery in step, and send to the same endpoints.
+    pub fn sidecar_seed(&self) -> u64 {
+        self.seed ^ name_hash(&self.name)
+    }
 }
 
 /// Whether the text is a truncated JSON document.
--- a/crates/roseproxy/src/serve.rs
+++ b/crates/roseproxy/src/serve.rs
@@ -51,7 +51,7 @@
     let kill_after = shutdown::kill_after(&config.settings);
     let classes = Classes::new(config.names.clone(), config.settings.classes.clone());
     let host = match decider {
-        None => Host::new(config.settings.clone(), config.seed, clock.now()),
+        None => Host::new(config.settings.clone(), config.sidecar_seed(), clock.now()),
         Some(decider) => Host::with_decider(config.settings.clone(), decider),
     };
     let max_connections = memory_budget::max_connections(config.memory_bytes);
--- a/crates/roseproxy/tests/protocol.rs
+++ b/crates/roseproxy/tests/protocol.rs
@@ -199,3 +199,20 @@
     let read = Config::read(&incomplete.to_string(), variables).expect("the variable replaces the key");
     assert_eq!(read.listen.port(), 99);
 }
+
+/// Guards against a fleet in step: sidecars that were given equal seeds drew the same pauses before each call to
+/// discovery and the same endpoints for their requests.
+#[test]
+fn sidecars_with_equal_seeds_draw_different_numbers() {
+    let named = |name: &str| {
+        let mut config = valid_config();
+        config["name"] = json!(name);
+        read_config(&config).expect("a good configuration").sidecar_seed()
+    };
+    let seeds: std::collections::HashSet<u64> = (0..900).map(|number| named(&format!("n{number}"))).collect();
+    assert_eq!(seeds.len(), 900);
+    assert_eq!(named("n3"), named("n3"), "equal configurations draw equal numbers");
+    let mut other = valid_config();
+    other["seed"] = json!("1");
+    assert_ne!(read_config(&other).expect("a good configuration").sidecar_seed(), named("n3"));
+}
