Spread the calls of a fleet that starts or moves together once discovery turns them away

Cause: CallSchedule::wait_after_call keeps a sidecar's phase. First calls are spread over 20 ms a sidecar, 0.6 s of the period of 4.5 s at 30 sidecars, and a move by SIGHUP is called at once; only calls that reopen a silent watch were spread anew.

Change: a call that others may have made at the same moment is spread anew when it fails; so is one that follows a watch which was opened so and ends soon. A call at a move is told to the module as reopened. No pause grows: the next call is due within what is left of the period, as before.

--- a/crates/decision/src/interface.rs
+++ b/crates/decision/src/interface.rs
@@ -225,7 +225,7 @@
     Changes,
     /// A call failed or the watch ended; the current list stays.
     Failed,
-    /// The watch fell silent and the host calls again at once; the current list stays.
+    /// The watch fell silent or discovery moved, and the host calls at once; the current list stays.
     Reopened,
 }
 
--- a/crates/fleet/src/discovery_calls.rs
+++ b/crates/fleet/src/discovery_calls.rs
@@ -71,13 +71,13 @@
 enum State {
     /// No list has arrived and no call has been made.
     NotStarted,
-    /// The next call is planned.
-    Waiting,
+    /// The next call is planned; `synchronized` if other sidecars may make theirs at the same moment.
+    Waiting { synchronized: bool },
     /// A call has been open since `since`; `synchronized` if other sidecars may have called at the
     /// same moment.
     Calling { since: i64, synchronized: bool },
-    /// A watch is open; its call was made at `since`.
-    Watching { since: i64 },
+    /// A watch is open; its call was made at `since`, and `synchronized` as above.
+    Watching { since: i64, synchronized: bool },
 }
 
 /// Decides when one sidecar calls discovery, in deployments where lists have to be requested. All
@@ -107,11 +107,12 @@
 
     /// Records that a planned call starts.
     pub fn on_call_started(&mut self, now: i64) {
-        self.state = State::Calling { since: now, synchronized: false };
+        let synchronized = matches!(self.state, State::Waiting { synchronized: true });
+        self.state = State::Calling { since: now, synchronized };
     }
 
-    /// Records that a call starts without a pause because the watch fell silent. All watches of the
-    /// fleet may have fallen silent at the same moment.
+    /// Records that a call starts without a pause because the watch fell silent or discovery moved. Both
+    /// may have happened to the whole fleet at the same moment.
     pub fn on_watch_reopened(&mut self, now: i64) {
         self.state = State::Calling { since: now, synchronized: true };
     }
@@ -120,12 +121,12 @@
     pub fn on_list(&mut self, rng: &mut impl RngCore) -> Option<i64> {
         match self.state {
             State::NotStarted => Some(self.plan_first_call(rng)),
-            State::Calling { since, .. } => {
-                self.state = State::Watching { since };
+            State::Calling { since, synchronized } => {
+                self.state = State::Watching { since, synchronized };
                 (self.failures, self.overloads) = (0, 0);
                 None
             }
-            State::Waiting | State::Watching { .. } => None,
+            State::Waiting { .. } | State::Watching { .. } => None,
         }
     }
 
@@ -134,20 +135,20 @@
     pub fn on_failure(&mut self, now: i64, rng: &mut impl RngCore) -> Option<i64> {
         let wait = match self.state {
             State::NotStarted => return Some(self.plan_first_call(rng)),
-            State::Waiting => return None,
+            State::Waiting { .. } => return None,
             State::Calling { since, synchronized } => {
                 self.count_overload(CallFailure::from_elapsed(now - since));
                 let wait = self.wait_after_call(now - since, rng);
                 if synchronized {
-                    wait * uniform(rng)
+                    (wait * uniform(rng)).max(MIN_CALL_PERIOD_US)
                 } else {
                     wait
                 }
             }
-            State::Watching { since } => self.wait_after_watch(now - since, rng),
+            State::Watching { since, synchronized } => self.wait_after_watch(now - since, synchronized, rng),
         };
         self.failures = self.failures.saturating_add(1);
-        self.state = State::Waiting;
+        self.state = State::Waiting { synchronized: false };
         Some(wait as i64)
     }
 
@@ -163,19 +164,22 @@
     /// counts as received by the same deadline as that of others.
     fn plan_first_call(&mut self, rng: &mut impl RngCore) -> i64 {
         let spread = self.sidecars as f64 * FIRST_CALL_SPREAD_PER_SIDECAR_US;
-        let wait = spread.min(CALL_PERIOD_US).min(self.max_poll_interval * MAX_WAIT_SHARE) * uniform(rng);
+        let spread = spread.min(CALL_PERIOD_US).min(self.max_poll_interval * MAX_WAIT_SHARE);
+        let wait = spread * uniform(rng);
         self.failures = 1;
-        self.state = State::Waiting;
+        // Calls that are spread over a part of the period only are spread anew if they fail.
+        let synchronized = spread < self.period() && !self.has_full_visibility();
+        self.state = State::Waiting { synchronized };
         wait as i64
     }
 
     /// Returns the wait after a watch whose call was made `elapsed` microseconds ago.
-    fn wait_after_watch(&self, elapsed: i64, rng: &mut impl RngCore) -> f64 {
+    fn wait_after_watch(&self, elapsed: i64, synchronized: bool, rng: &mut impl RngCore) -> f64 {
         if self.has_full_visibility() {
             return (self.window() * uniform(rng)).min(CALL_PERIOD_US);
         }
         let remaining = self.period() - elapsed as f64;
-        if remaining > 0.0 {
+        if remaining > 0.0 && !synchronized {
             // The watch ended within one period of its call: keeping its phase keeps the calls
             // spread.
             return remaining;
--- a/crates/fleet/tests/discovery_calls.rs
+++ b/crates/fleet/tests/discovery_calls.rs
@@ -270,6 +270,35 @@
     assert!(waits[100] < SECOND_US / 2 && waits[900] > 3 * SECOND_US, "{} to {} us", waits[100], waits[900]);
 }
 
+/// Returns the time between the 50th and the 450th of 500 draws of when a call is made.
+fn middle_spread(call_at: impl Fn(u64) -> i64) -> i64 {
+    let mut calls: Vec<i64> = (0..500).map(call_at).collect();
+    calls.sort_unstable();
+    calls[450] - calls[50]
+}
+
+/// Guards against a crowd that stays in step: the first calls of a fleet that starts together are spread over a part
+/// of the period, so those that a crowded discovery turns away must be spread anew, and so must the watches opened by
+/// the others if they end together.
+#[test]
+fn a_fleet_that_starts_together_is_spread_by_what_fails() {
+    let turned_away = |seed| {
+        let (mut caller, wait) = Caller::new(30, MAX_POLL_INTERVAL_US, seed);
+        let wait = caller.fail_call(wait, QUEUE_TIMEOUT_US);
+        caller.now + wait
+    };
+    let spread = middle_spread(turned_away);
+    assert!(spread > PERIOD_US / 3, "calls within {spread} us after the first was turned away");
+    let reset_soon = |seed| {
+        let (mut caller, wait) = Caller::new(30, MAX_POLL_INTERVAL_US, seed);
+        caller.succeed_call(wait);
+        caller.now = 3 * SECOND_US;
+        caller.now + caller.end_watch()
+    };
+    let spread = middle_spread(reset_soon);
+    assert!(spread > PERIOD_US / 3, "calls within {spread} us after all watches ended");
+}
+
 #[test]
 fn one_call_is_planned_at_a_time() {
     let (mut caller, _) = Caller::new(300, MAX_POLL_INTERVAL_US, 5);
--- a/crates/routing/src/discovery.rs
+++ b/crates/routing/src/discovery.rs
@@ -218,10 +218,13 @@
     /// Records that discovery was moved; `calling` is whether a call or a watch was open, which
     /// ended by the move.
     pub fn discovery_moved(&mut self, now: f64, calling: bool) {
+        self.update_lease(now, |lease| lease.on_moved(now));
         if calling {
             self.counters.count_call_end(CallEnd::Moved);
+            // The new address is called without a pause, and probably by the whole fleet. Between
+            // two calls the next one is planned already.
+            self.notify_module(now, Event::Servers { update: Update::Reopened, servers: &[] });
         }
-        self.update_lease(now, |lease| lease.on_moved(now));
     }
 
     /// Records that the watch ended and is reopened without a pause; the current list stays.
