Use a list no longer than its term while discovery can be reached and sends nothing

After a release, or a move by SIGHUP, sidecars that a crowded discovery turned away sent new requests to a draining server: 3 attempts up to 2.8 s, and 32 attempts up to 6.1 s, after the last moment allowed.

Cause: ListLease::on_failure took a call that was accepted and turned away, broken off or not answered for the absence of discovery, which extends a lease without an end; after a start, 5 s of such calls made the sidecar ready on its kept list.

The term counts from the last call that found discovery away, so that one which returns and turns calls away is no excuse, and an outage after a call that was turned away isn't either. A whole list without a watch is held for the time for asking, and after a move not past 4 s. A sidecar is ready on a kept list only where no connection comes up.

--- a/crates/roseproxy/tests/common/registry.rs
+++ b/crates/roseproxy/tests/common/registry.rs
@@ -33,13 +33,30 @@
     Unreachable,
     /// Every call waits in the queue for [`QUEUE_TIMEOUT`] and then gets a 503.
     Queued,
+    /// Every call gets a 429 at once.
+    RateLimited,
+    /// Every call is accepted and never answered.
+    Hanging,
+    /// Calls for the whole list are answered; every call for a watch gets a 503 at once.
+    WatchesRejected,
+    /// Every call is answered after [`SLOW_ANSWER_DELAY`]; watches that are open end.
+    Slow,
 }
 
-pub const OUTAGES: [Outage; 5] =
-    [Outage::Unavailable, Outage::Refused, Outage::Reset, Outage::Unreachable, Outage::Queued];
+/// Outages that fail every call of the fleet.
+pub const OUTAGES: [Outage; 6] = [
+    Outage::Unavailable,
+    Outage::Refused,
+    Outage::Reset,
+    Outage::Unreachable,
+    Outage::Queued,
+    Outage::RateLimited,
+];
 
 /// Time for which a call waits in discovery's queue before it gets a 503.
 const QUEUE_TIMEOUT: Duration = Duration::from_secs(2);
+/// Time for which a slow discovery keeps each call waiting.
+const SLOW_ANSWER_DELAY: Duration = Duration::from_secs(5);
 
 /// The present state of the service and its list.
 #[derive(Clone, Copy, Debug)]
@@ -57,6 +74,7 @@
     state: watch::Sender<State>,
     call_times: RefCell<Vec<Instant>>,
     open_watches: Cell<usize>,
+    whole_list_calls: Cell<usize>,
     /// Addresses at which the programs on [`LoopbackNetwork`] listen.
     listeners: RefCell<Vec<SocketAddr>>,
 }
@@ -83,6 +101,7 @@
             state: watch::channel(state).0,
             call_times: RefCell::default(),
             open_watches: Cell::new(0),
+            whole_list_calls: Cell::new(0),
             listeners: RefCell::default(),
         })
     }
@@ -117,6 +136,11 @@
         self.open_watches.get()
     }
 
+    /// Number of calls for the whole list.
+    pub fn whole_list_calls(&self) -> usize {
+        self.whole_list_calls.get()
+    }
+
     /// Number of calls from `from` until just before `to`.
     pub fn calls_between(&self, from: Instant, to: Instant) -> usize {
         self.call_times.borrow().iter().filter(|at| (from..to).contains(*at)).count()
@@ -143,7 +167,7 @@
                 self.count_call();
                 pending().await
             }
-            Some(Outage::Unavailable | Outage::Reset | Outage::Queued) | None => Ok(()),
+            Some(_) | None => Ok(()),
         }
     }
 
@@ -162,10 +186,14 @@
         let mut state = self.state.subscribe();
         while let Some(request) = read_message(&mut stream).await {
             self.count_call();
+            if !request.contains("stream=1") {
+                self.whole_list_calls.set(self.whole_list_calls.get() + 1);
+            }
             let State { outage, revision, phase } = *state.borrow_and_update();
             match outage {
                 None => {}
-                Some(outage @ (Outage::Unavailable | Outage::Queued)) => {
+                Some(Outage::WatchesRejected) if !request.contains("stream=1") => {}
+                Some(outage @ (Outage::Unavailable | Outage::Queued | Outage::WatchesRejected)) => {
                     if outage == Outage::Queued {
                         tokio::time::sleep(QUEUE_TIMEOUT).await;
                     }
@@ -173,10 +201,16 @@
                     return;
                 }
                 Some(Outage::Refused | Outage::Reset) => return abort(stream),
-                Some(Outage::Unreachable) => {
+                Some(Outage::Unreachable | Outage::Hanging) => {
                     wait_until_recovered(&mut state).await;
                     return abort(stream);
                 }
+                Some(Outage::RateLimited) => {
+                    let answer = b"HTTP/1.1 429 Too Many Requests\r\nContent-Length: 0\r\n\r\n";
+                    let _ = stream.write_all(answer).await;
+                    return;
+                }
+                Some(Outage::Slow) => tokio::time::sleep(SLOW_ANSWER_DELAY).await,
             }
             if request.contains("stream=1") {
                 self.open_watches.set(self.open_watches.get() + 1);
--- a/crates/roseproxy/tests/discovery_outage.rs
+++ b/crates/roseproxy/tests/discovery_outage.rs
@@ -206,9 +206,7 @@
                 let calls_after = calls_by_second(&registry, outage_end, Instant::now());
                 let allowed_at_first = match outage {
                     Outage::Unreachable => allowed_calls_after_silence(fleet),
-                    Outage::Unavailable | Outage::Refused | Outage::Reset | Outage::Queued => {
-                        allowed_calls_in_a_second(fleet)
-                    }
+                    _ => allowed_calls_in_a_second(fleet),
                 };
                 let allowed_later = allowed_calls_in_a_second(fleet);
                 let silence_s = CHANGE_DEADLINE.as_secs() as usize;
--- a/crates/routing/src/discovery.rs
+++ b/crates/routing/src/discovery.rs
@@ -54,7 +54,7 @@
         match self {
             CallEnd::Unreachable => Some(DiscoveryFailure::Unreachable),
             CallEnd::NoAnswer => Some(DiscoveryFailure::NoAnswer),
-            CallEnd::TurnedAway | CallEnd::Broken | CallEnd::Unreadable => Some(DiscoveryFailure::Unanswered),
+            CallEnd::TurnedAway | CallEnd::Broken | CallEnd::Unreadable => Some(DiscoveryFailure::Rejected),
             CallEnd::WatchEnded => Some(DiscoveryFailure::WatchEnded),
             CallEnd::NotMade | CallEnd::WatchSilent | CallEnd::Moved => None,
         }
@@ -131,12 +131,21 @@
     pub fn follow_discovery(&mut self, now: f64, started_at: f64) {
         let lists_requested = self.settings.must_subscribe;
         let unwatched = if lists_requested { time::to_millis(self.settings.max_poll_interval) } else { 0.0 };
-        let terms = LeaseTerms { grace_ms: self.notice_grace(), unwatched_ms: unwatched };
+        let terms = LeaseTerms {
+            grace_ms: self.notice_grace(),
+            unwatched_ms: unwatched,
+            local_agent: !lists_requested,
+        };
         self.lease = Some(ListLease::of_kept_list(started_at, terms));
         self.refresh_lease(now);
     }
 
-    /// Records that discovery sent a change, or confirmed that there is none.
+    /// Records that discovery sent the whole list in answer to a call, without a watch.
+    pub fn list_fetched(&mut self, now: f64) {
+        self.update_lease(now, |lease| lease.on_list_fetched(now));
+    }
+
+    /// Records that an open watch sent a change, or confirmed that there is none.
     pub fn list_confirmed(&mut self, now: f64) {
         self.update_lease(now, |lease| lease.on_confirmed(now));
     }
--- a/crates/routing/tests/list_lease.rs
+++ b/crates/routing/tests/list_lease.rs
@@ -141,24 +141,48 @@
     assert!(!out_of_ports.can_serve(STARTED_AT_MS + NOTICE_TERM_MS + GRACE_MS));
 }
 
-/// Requests are still served during an outage of discovery, and the log states when the list
-/// expired and when it became valid again.
+/// Guards against sidecars that discovery turns away and that serve on an old list: the log states when
+/// the list expired and when it became valid again, and requests are refused in between.
 #[test]
-fn an_outage_of_discovery_that_begins_with_queued_calls_is_logged() {
+fn requests_are_refused_while_discovery_turns_calls_away() {
+    for end in [CallEnd::TurnedAway, CallEnd::Broken, CallEnd::Unreadable, CallEnd::NoAnswer] {
+        let mut host = host(false);
+        host.list_confirmed(STARTED_AT_MS);
+        let mut now = STARTED_AT_MS;
+        while now < STARTED_AT_MS + 60_000.0 {
+            host.discovery_call_started(now, Some(1));
+            host.discovery_failed(now + 2_000.0, end);
+            now += 4_500.0;
+            host.tick(now);
+        }
+        orders(&mut host);
+        let id = request(&mut host, now);
+        assert_eq!(orders(&mut host), (vec![], vec![id]), "{end:?}: refused, as a retry is harmless");
+        host.list_confirmed(now);
+        request(&mut host, now);
+        assert_eq!(orders(&mut host).0.len(), 1, "{end:?}: confirmed");
+        let log = host.events.text();
+        let expired = log.find("discovery list_expired unconfirmed_for=").expect("it expired");
+        let renewed = log.find("discovery list_renewed").expect("it is valid again");
+        assert!(expired < renewed, "{log}");
+        assert_eq!(count(&host, "lists_expired"), 1, "{end:?}");
+    }
+}
+
+/// Requests are served on while discovery cannot be reached by any connection.
+#[test]
+fn requests_are_served_while_discovery_is_unreachable() {
     let mut host = host(false);
-    host.discovery_call_started(STARTED_AT_MS, Some(1));
-    host.tick(STARTED_AT_MS + GRACE_MS);
-    host.discovery_failed(STARTED_AT_MS + 2_000.0, CallEnd::TurnedAway);
-    host.tick(STARTED_AT_MS + 5_000.0);
-    let log = host.events.text();
-    let expired = log.find("discovery list_expired unconfirmed_for=750").expect("it expired");
-    let renewed = log.find("discovery list_renewed").expect("it is valid again");
-    assert!(expired < renewed, "{log}");
-    assert_eq!(count(&host, "lists_expired"), 1);
-    assert_eq!(count(&host, "discovery_call_ended_turned_away"), 1);
+    host.list_confirmed(STARTED_AT_MS);
     orders(&mut host);
-    request(&mut host, STARTED_AT_MS + 5_000.0);
-    assert_eq!(orders(&mut host).0.len(), 1);
+    for call in 0..20 {
+        let now = STARTED_AT_MS + 4_500.0 * f64::from(call);
+        host.discovery_call_started(now, Some(1));
+        host.discovery_failed(now + 1_000.0, CallEnd::Unreachable);
+        request(&mut host, now + 4_499.0);
+        assert_eq!(orders(&mut host).0.len(), 1, "call {call}");
+    }
+    assert_eq!(count(&host, "lists_expired"), 0);
 }
 
 /// After a move the list is not known to be valid until the new discovery has confirmed it.
--- a/crates/transport/src/discovery.rs
+++ b/crates/transport/src/discovery.rs
@@ -190,7 +190,7 @@
         let fetch = connection.exchange(request, &memory);
         let answer = tokio::time::timeout(duration_from_ms(ANSWER_TIMEOUT_MS), fetch).await;
         match answer.map_err(|_| CallEnd::NoAnswer)? {
-            ExchangeResult::Answered(StatusCode::OK, _, body) => self.apply(&body)?,
+            ExchangeResult::Answered(StatusCode::OK, _, body) => self.apply(&body, ListOrigin::Answer)?,
             ExchangeResult::Answered(..) => return Err(CallEnd::TurnedAway),
             ExchangeResult::Broken { .. } => return Err(CallEnd::Broken),
         }
@@ -217,7 +217,7 @@
                     WatchFrame::Partial => return,
                     WatchFrame::Heartbeat => self.gateway.list_confirmed(),
                     WatchFrame::Object(text) => {
-                        if self.apply(&text).is_err() {
+                        if self.apply(&text, ListOrigin::Watch).is_err() {
                             let before = resume_from.unwrap_or(self.revision);
                             resume_from = Some(self.revision.and(before));
                         }
@@ -242,7 +242,7 @@
 
     /// Applies a list. Whatever cannot be decoded is counted and must be requested again: the
     /// current list stays in use but is known to be incomplete.
-    fn apply(&mut self, text: &[u8]) -> Result<(), CallEnd> {
+    fn apply(&mut self, text: &[u8], origin: ListOrigin) -> Result<(), CallEnd> {
         let counters = &self.gateway.counters;
         let started_at = self.gateway.now();
         let listing = discovery::read(text);
@@ -266,7 +266,10 @@
                 self.gateway.discovery_event(taken);
                 self.gateway.set_revision(revision);
                 // Must come before applying the list, which sends the requests that wait for one.
-                self.gateway.list_confirmed();
+                match origin {
+                    ListOrigin::Watch => self.gateway.list_confirmed(),
+                    ListOrigin::Answer => self.gateway.list_fetched(),
+                }
                 self.gateway.apply_discovery_list(update, targets, behind);
                 self.check_unreadable_entries(unread)
             }
@@ -289,6 +292,15 @@
     }
 }
 
+/// How a list arrived.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum ListOrigin {
+    /// On an open watch.
+    Watch,
+    /// In answer to a call for the whole list.
+    Answer,
+}
+
 /// Waits until the address changes, or forever if the sender is gone.
 async fn address_changed(address: &mut watch::Receiver<SocketAddr>) {
     if address.changed().await.is_err() {
--- a/crates/transport/src/gateway.rs
+++ b/crates/transport/src/gateway.rs
@@ -238,7 +238,13 @@
         self.execute_orders();
     }
 
-    /// Reports that discovery has sent a change or confirmed that there is none.
+    /// Reports that discovery has sent the whole list in answer to a call.
+    pub(super) fn list_fetched(self: &Rc<Self>) {
+        self.host.borrow_mut().list_fetched(self.now());
+        self.execute_orders();
+    }
+
+    /// Reports that an open watch has sent a change or confirmed that there is none.
     pub(super) fn list_confirmed(self: &Rc<Self>) {
         self.host.borrow_mut().list_confirmed(self.now());
         self.execute_orders();
