Keep the revision in hand when discovery answers that calls come too often

The whole list is what costs a crowded discovery most.

Cause: Watcher::open_watch took every 4xx for 'does not know this revision'. Ruled out: the schedule (it asks for no list).

Change: 429 and 408 say nothing of the revision and leave it. Other 4xx lead to the whole list as before.

Test: a_call_that_comes_too_often_does_not_lead_to_a_call_for_the_whole_list, failed before.

--- a/crates/roseproxy/tests/turned_away.rs
+++ b/crates/roseproxy/tests/turned_away.rs
@@ -164,6 +164,23 @@
     }
 }
 
+/// A crowd keeps asking for what has changed: a call that comes too often says nothing of the revision that it names,
+/// and the whole list costs a crowded discovery far more.
+#[test]
+fn a_call_that_comes_too_often_does_not_lead_to_a_call_for_the_whole_list() {
+    run_paused(async {
+        let registry = Registry::on_loopback().await;
+        let (_sidecar, _sender) = start_watching(&registry, 30).await;
+        let before = registry.whole_list_calls();
+        registry.fail(Outage::RateLimited);
+        sleep(FAILURE_DURATION).await;
+        registry.recover();
+        sleep(RECOVERY_DEADLINE).await;
+        assert_eq!(registry.open_watches(), 1);
+        assert_eq!(registry.whole_list_calls(), before);
+    });
+}
+
 /// What an outage that answers costs: requests are refused from the end of the lease until the next call is answered,
 /// which is due within one period. Prints the times for `docs/design/discovery.md`.
 #[test]
--- a/crates/transport/src/discovery.rs
+++ b/crates/transport/src/discovery.rs
@@ -173,8 +173,8 @@
         let answer = tokio::time::timeout(duration_from_ms(ANSWER_TIMEOUT_MS), answer).await;
         let answer = answer.map_err(|_| CallEnd::NoAnswer)?.map_err(|_| CallEnd::Broken)?;
         if answer.status() != StatusCode::OK {
-            if answer.status().is_client_error() {
-                // Discovery does not know this revision: start over with the complete list.
+            if rejects_revision(answer.status()) {
+                // Start over with the complete list.
                 self.revision = None;
             }
             return Err(CallEnd::TurnedAway);
@@ -301,6 +301,13 @@
     Answer,
 }
 
+/// Whether an answer with this status means that discovery does not know the revision that the call
+/// named. Calls that come too often or too late tell nothing of the revision.
+fn rejects_revision(status: StatusCode) -> bool {
+    let retryable = [StatusCode::TOO_MANY_REQUESTS, StatusCode::REQUEST_TIMEOUT];
+    status.is_client_error() && !retryable.contains(&status)
+}
+
 /// Waits until the address changes, or forever if the sender is gone.
 async fn address_changed(address: &mut watch::Receiver<SocketAddr>) {
     if address.changed().await.is_err() {
