Wait longer for a discovery that answers slowly

Cause: one fixed limit of 3 s for an answer, however many calls in a row have missed it.

Change: where lists are requested, the limit doubles with each unanswered call in a row, up to 12 s; any other end resets it. An agent on the same machine keeps 3 s, as its silence says that discovery is away.

Price: where a call is swallowed and discovery returns meanwhile, the second and third call in a row take up to 3 and 9 s longer to be given up; the lease has ended by then, so requests are refused for as long, and none goes to a server that left.

Test: a_sidecar_of_a_slow_discovery_gets_its_list (answers after 5 s), failed before ('no watch').

--- a/crates/roseproxy/tests/turned_away.rs
+++ b/crates/roseproxy/tests/turned_away.rs
@@ -144,6 +144,21 @@
     });
 }
 
+/// A discovery that is slow with each answer gets the time that it needs.
+#[test]
+fn a_sidecar_of_a_slow_discovery_gets_its_list() {
+    for fleet in FLEET_SIZES {
+        run_paused(async {
+            let registry = Registry::on_loopback().await;
+            let (sidecar, _sender) = start_watching(&registry, fleet).await;
+            registry.fail(Outage::Slow);
+            sleep(FAILURE_DURATION).await;
+            assert_eq!(registry.open_watches(), 1, "fleet of {fleet}: no watch");
+            assert!(sidecar.can_serve(), "fleet of {fleet}: the list is not in use");
+        });
+    }
+}
+
 /// Where no connection is established, no sidecar is told of anything, and the service goes on.
 #[test]
 fn a_list_is_used_on_while_discovery_is_unreachable() {
--- a/crates/transport/src/discovery.rs
+++ b/crates/transport/src/discovery.rs
@@ -19,12 +19,16 @@
 use roseproxy_routing::event_log::{Activity, EventKind};
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::time::Duration;
 use tokio::sync::watch;
 
 /// Time allowed for connecting to discovery.
 const CONNECT_TIMEOUT_MS: f64 = 1_000.0;
-/// Time allowed for discovery to begin an answer: it queues calls and serves them in turn.
+/// Time allowed for discovery to begin an answer: it queues calls and serves them in turn. Where lists
+/// are requested, it doubles with each call in a row that got no answer, as discovery may be slow.
 const ANSWER_TIMEOUT_MS: f64 = 3_000.0;
+/// How often the time allowed for an answer doubles at most.
+const MAX_ANSWER_TIMEOUT_DOUBLINGS: u32 = 2;
 /// A watch sends a heartbeat every 2 s. A watch that sends no message, or an object that does not
 /// end, for this long is considered dead.
 const WATCH_SILENCE_TIMEOUT_MS: f64 = 3_000.0;
@@ -49,6 +53,8 @@
     /// The revision for which the complete list was requested because an entry could not be
     /// decoded.
     refetched_for: Option<u64>,
+    /// Calls in a row that got no answer in time.
+    unanswered_calls: u32,
     /// When the process started (ms): notice of changes made before may count as received by this
     /// sidecar from then on.
     process_start: f64,
@@ -71,6 +77,7 @@
             revision: known_revision,
             last_revision,
             refetched_for: None,
+            unanswered_calls: 0,
             process_start,
         }
     }
@@ -122,6 +129,7 @@
                 end = self.run_watch(address, started_at) => {
                     let elapsed = self.gateway.now() - started_at;
                     self.gateway.discovery_event(DiscoveryEvent::CallEnded(end, elapsed));
+                    self.count_unanswered(end);
                     // Discovery resends what could not be decoded, starting from the current
                     // revision; once is cheap for it.
                     let isolated_decode_error = end == CallEnd::Unreadable && elapsed >= MIN_HEALTHY_WATCH_MS && self.revision.is_some();
@@ -152,6 +160,21 @@
         }
     }
 
+    fn count_unanswered(&mut self, end: CallEnd) {
+        self.unanswered_calls = match end {
+            CallEnd::NoAnswer => self.unanswered_calls.saturating_add(1),
+            _ => 0,
+        };
+    }
+
+    fn answer_timeout(&self) -> Duration {
+        let doublings = match self.gateway.requests_lists() {
+            true => self.unanswered_calls.min(MAX_ANSWER_TIMEOUT_DOUBLINGS),
+            false => 0,
+        };
+        duration_from_ms(ANSWER_TIMEOUT_MS * f64::from(1 << doublings))
+    }
+
     /// Calls discovery and returns the streamed answer together with its connection.
     async fn open_watch(
         &mut self,
@@ -170,7 +193,7 @@
             None => self.fetch_list(&mut connection, &host).await?,
         };
         let answer = connection.send(OutgoingRequest::get(&discovery::watch_path(known_revision), &host));
-        let answer = tokio::time::timeout(duration_from_ms(ANSWER_TIMEOUT_MS), answer).await;
+        let answer = tokio::time::timeout(self.answer_timeout(), answer).await;
         let answer = answer.map_err(|_| CallEnd::NoAnswer)?.map_err(|_| CallEnd::Broken)?;
         if answer.status() != StatusCode::OK {
             if rejects_revision(answer.status()) {
@@ -188,7 +211,7 @@
         let request = OutgoingRequest::get(discovery::LIST_PATH, host);
         let memory = AnswerMemory::of_list(MAX_LIST_BYTES, &self.gateway.memory);
         let fetch = connection.exchange(request, &memory);
-        let answer = tokio::time::timeout(duration_from_ms(ANSWER_TIMEOUT_MS), fetch).await;
+        let answer = tokio::time::timeout(self.answer_timeout(), fetch).await;
         match answer.map_err(|_| CallEnd::NoAnswer)? {
             ExchangeResult::Answered(StatusCode::OK, _, body) => self.apply(&body, ListOrigin::Answer)?,
             ExchangeResult::Answered(..) => return Err(CallEnd::TurnedAway),
--- a/crates/transport/src/gateway.rs
+++ b/crates/transport/src/gateway.rs
@@ -225,6 +225,11 @@
         self.host.borrow_mut().record_discovery_event(self.now(), event);
     }
 
+    /// Whether lists have to be requested from a discovery that other sidecars call as well.
+    pub(super) fn requests_lists(&self) -> bool {
+        self.host.borrow().settings().must_subscribe
+    }
+
     /// Starts following discovery. The current list was stored before the start, which was at
     /// `started_at` (ms).
     pub(super) fn follow_discovery(self: &Rc<Self>, started_at: f64) {
