Claim a request's id when its head has arrived, not when its body is whole

Cause: Listener::handle_flow reads the head, waits for memory and for the body, and only then Gateway::start_flow entered the id among the open ones. Evidence, event log on the code before: 'request=3 taken id=order-0' of the bad client at 190.0, 'request=9 taken id=order-0' of the usual one at 721.5, whose head came 0.1 s before the first. Ruled out: an id freed too early (there is no answer and no departure between the two), a check that compares wrongly (a_second_request_with_an_open_id_is_rejected held).

Change: the id is claimed by a value that the request owns from its head on, through the wait for memory, the body and the flow, and that frees it on drop however the request ends. A request that waits for memory ends when its client leaves, also behind bytes that nobody has read: the system reports the close, and PeekResult says so. Counter requests_id_in_use.

Tests, request_ids.rs, with a length and in chunks, cut after the head, in the body and before the last byte. Held before and after: an id is free when its client closes or resets in the middle, and after a 400 or 413.

--- a/crates/transport/src/attempt.rs
+++ b/crates/transport/src/attempt.rs
@@ -4,7 +4,7 @@
 use super::connection::ExchangeResult;
 use super::duration_from_ms;
 use super::gateway::Gateway;
-use super::network::{Network, PeekResult};
+use super::network::Network;
 use super::pending_flow::PendingRequest;
 use super::pool::PooledConnection;
 use super::write_progress::{WriteObserver, WriteStage};
@@ -101,7 +101,7 @@
     /// not have been reported yet.
     fn client_is_connected(&self, id: FlowId) -> bool {
         let peek_client = self.pending_flows.borrow().get(&id).map(|pending| pending.peek_client.clone());
-        peek_client.is_some_and(|peek_client| peek_client() != PeekResult::Closed)
+        peek_client.is_some_and(|peek_client| !peek_client().peer_has_closed())
     }
 
     /// Whether an attempt may continue to be written at this instant. If its client has left, the
--- a/crates/transport/src/client_slots.rs
+++ b/crates/transport/src/client_slots.rs
@@ -155,9 +155,11 @@
     }
 
     /// Waits for memory for a request of which the first byte was sent at `waiting_since` (ms). Closes connections that hold
-    /// memory for a request that has stopped arriving. Returns `None` if the request has waited for too long.
+    /// memory for a request that has stopped arriving. Returns `None` if the request has waited for too long, or if its
+    /// client has left.
     pub async fn make_room_in_memory(
         &self,
+        waiting: &ClientSlot,
         waiting_since: f64,
         reserve: impl Future<Output = Option<Reservation>>,
     ) -> Option<Reservation> {
@@ -165,7 +167,7 @@
         loop {
             let now = (self.now)();
             let waited_ms = now - waiting_since;
-            if waited_ms >= MAX_WAIT_MS {
+            if waited_ms >= MAX_WAIT_MS || (waiting.peek)().peer_has_closed() {
                 return None;
             }
             if let Some(slot) = self.choose_eviction(now, waited_ms, EvictionCandidate::holds_memory) {
--- a/crates/transport/src/counters.rs
+++ b/crates/transport/src/counters.rs
@@ -29,6 +29,8 @@
     pub descriptors_spent: Cell<u64>,
     /// Requests rejected with a 4xx status.
     pub requests_malformed: Cell<u64>,
+    /// Requests rejected because another one has their id.
+    pub requests_id_in_use: Cell<u64>,
     /// Connections opened to targets.
     pub targets_connected: Cell<u64>,
     /// Requests sent on a pooled connection.
@@ -71,6 +73,7 @@
             ("clients_closed_idle", &self.clients_closed_idle),
             ("descriptors_spent", &self.descriptors_spent),
             ("requests_malformed", &self.requests_malformed),
+            ("requests_id_in_use", &self.requests_id_in_use),
             ("targets_connected", &self.targets_connected),
             ("targets_reused", &self.targets_reused),
             ("targets_unreachable", &self.targets_unreachable),
--- a/crates/transport/src/gateway.rs
+++ b/crates/transport/src/gateway.rs
@@ -9,8 +9,8 @@
 use super::network::{Network, Peek};
 use super::pending_flow::{PendingFlow, PendingRequest, RequestMemory};
 use super::pool::{Pool, PooledConnection};
+use super::request_ids::{RequestIdClaim, RequestIds};
 use super::{duration_from_ms, AbortOnDrop};
-use hyper::header::HeaderValue;
 use roseproxy_decision::interface::{Outcome, ServerId, Update};
 use roseproxy_platform::request::{Classes, ForwardedRequest};
 use roseproxy_routing::discovery::{CallEnd, DiscoveryEvent};
@@ -21,7 +21,7 @@
 use roseproxy_routing::time::{to_millis, Now};
 use roseproxy_routing::Host;
 use std::cell::{Cell, RefCell};
-use std::collections::{HashMap, HashSet};
+use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use tokio::sync::{oneshot, Notify};
@@ -46,8 +46,8 @@
     target_budget: Budget,
     pub(super) connect_timeout_ms: f64,
     pub(super) pending_flows: RefCell<HashMap<FlowId, PendingFlow>>,
-    /// Request ids, as sent by the clients, of the pending flows.
-    open_request_ids: RefCell<HashSet<HeaderValue>>,
+    /// The request ids, as sent by the clients, that no further request may use.
+    pub(super) request_ids: RequestIds,
     pub(super) forwards: RefCell<HashMap<ForwardId, AbortOnDrop>>,
     pub(super) probes: RefCell<HashMap<ServerId, AbortOnDrop>>,
     /// When the timer task will wake; infinite while no timer is set.
@@ -90,7 +90,7 @@
             target_budget: targets,
             connect_timeout_ms: to_millis(network_settings.connect_timeout),
             pending_flows: RefCell::default(),
-            open_request_ids: RefCell::default(),
+            request_ids: RequestIds::default(),
             forwards: RefCell::default(),
             probes: RefCell::default(),
             timer_wakes_at: Cell::new(f64::INFINITY),
@@ -118,19 +118,16 @@
         self.now.clone()
     }
 
-    /// Starts a flow for a request. `peek_client` inspects the client's connection; the answer is
-    /// sent on the returned channel. Returns `None` if a request with the same id is open: that
-    /// request belongs to another client, and a target would take this one for a retry of it.
+    /// Starts a flow for a request, which holds the claim on its id until it is answered. `peek_client`
+    /// inspects the client's connection; the answer is sent on the returned channel.
     pub fn start_flow(
         self: &Rc<Self>,
         new: NewFlow,
         request: ForwardedRequest,
+        id_claim: RequestIdClaim,
         reserved: RequestMemory,
         peek_client: Peek,
-    ) -> Option<(FlowId, oneshot::Receiver<Answer>)> {
-        if !self.open_request_ids.borrow_mut().insert(request.id.clone()) {
-            return None;
-        }
+    ) -> (FlowId, oneshot::Receiver<Answer>) {
         let (answer, receiver) = oneshot::channel();
         let id = self.timed(Activity::Request, |host, now| host.accept_request(now, new));
         let client_id = truncate_client_id(request.id.as_bytes());
@@ -143,16 +140,15 @@
             ended: Rc::default(),
             answer_allowance: AnswerAllowance::new(reserved.answer),
         };
-        let pending = PendingFlow { request, peek_client, answer, _head: head };
+        let pending = PendingFlow { request, peek_client, answer, _id_claim: id_claim, _head: head };
         self.pending_flows.borrow_mut().insert(id, pending);
         self.execute_orders();
-        Some((id, receiver))
+        (id, receiver)
     }
 
-    /// Removes a flow from the pending ones, releases its request id and notifies its forwards.
+    /// Removes a flow from the pending ones and notifies its forwards.
     fn remove_pending(&self, id: FlowId) -> Option<PendingFlow> {
         let pending = self.pending_flows.borrow_mut().remove(&id)?;
-        self.open_request_ids.borrow_mut().remove(&pending.request.request.id);
         pending.request.ended.notify_waiters();
         Some(pending)
     }
--- a/crates/transport/src/lib.rs
+++ b/crates/transport/src/lib.rs
@@ -34,6 +34,7 @@
 pub mod pool;
 mod probe;
 pub mod request_framing;
+pub mod request_ids;
 mod retrying_stream;
 mod tap;
 mod write_progress;
--- a/crates/transport/src/listener.rs
+++ b/crates/transport/src/listener.rs
@@ -62,6 +62,10 @@
 const TOO_LARGE: Malformed =
     Malformed { status: StatusCode::PAYLOAD_TOO_LARGE, reason: "the body is too large" };
 
+/// Why a request is rejected that has the id of another one.
+const ID_IN_USE: Malformed =
+    Malformed { status: StatusCode::CONFLICT, reason: "a request with this Request-Id is open" };
+
 /// How the listener treats new work.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Phase {
@@ -347,6 +351,11 @@
             return Err(TOO_LARGE);
         }
         let mut forwarded = ForwardedRequest::new(&parts);
+        // From here on, while the rest of the request waits or arrives, no other may use its id.
+        let Some(id_claim) = self.gateway.request_ids.claim(&forwarded.id) else {
+            increment(&self.gateway.counters.requests_id_in_use);
+            return Err(ID_IN_USE);
+        };
         // The head's values share the read buffer, which would be kept for as long as the flow is open.
         drop(parts);
         let (head_bytes, body_bytes) = (forwarded.head_bytes(), max_length(&body, MAX_BODY_BYTES));
@@ -364,11 +373,7 @@
         let body = self.read_request_body(body, sent_at, reserved).await;
         slot.reading_body.set(false);
         forwarded.body = body?;
-        let (id, answer) =
-            self.gateway.start_flow(new, forwarded, memory, slot.peek.clone()).ok_or(Malformed {
-                status: StatusCode::CONFLICT,
-                reason: "a request with this Request-Id is open",
-            })?;
+        let (id, answer) = self.gateway.start_flow(new, forwarded, id_claim, memory, slot.peek.clone());
         let guard = FlowGuard { gateway: self.gateway.clone(), id };
         slot.open_flow.set(Some(id));
         // Routing answers every flow that it accepted; a missing answer is a failure all the same.
@@ -387,7 +392,7 @@
         }
         increment(&self.gateway.counters.requests_waited_for_memory);
         slot.awaiting_memory.set(true);
-        let reservation = self.slots.make_room_in_memory(sent_at, budget.reserve(bytes)).await;
+        let reservation = self.slots.make_room_in_memory(slot, sent_at, budget.reserve(bytes)).await;
         slot.awaiting_memory.set(false);
         reservation
     }
--- a/crates/transport/src/network.rs
+++ b/crates/transport/src/network.rs
@@ -11,8 +11,10 @@
 use std::io::{self, ErrorKind};
 use std::mem::MaybeUninit;
 use std::net::SocketAddr;
+use std::pin::pin;
 use std::rc::Rc;
-use tokio::io::{AsyncRead, AsyncWrite};
+use std::task::{Context, Poll, Waker};
+use tokio::io::{AsyncRead, AsyncWrite, Interest};
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 
 /// Connections that the system keeps until they are accepted; it drops further connects, which their
@@ -26,10 +28,19 @@
     Empty,
     /// Data; it is unknown whether the peer has closed the stream after it.
     Data,
+    /// Data, after which the peer has closed the stream.
+    DataBeforeEnd,
     /// The end of the stream: the peer has closed it, or it failed.
     Closed,
 }
 
+impl PeekResult {
+    /// Whether the peer is known to have closed the stream, or the stream failed.
+    pub fn peer_has_closed(self) -> bool {
+        matches!(self, PeekResult::DataBeforeEnd | PeekResult::Closed)
+    }
+}
+
 /// Inspects what waits to be read on a stream without reading it.
 pub type Peek = Rc<dyn Fn() -> PeekResult>;
 
@@ -98,8 +109,18 @@
             // The state is unknown, so no conclusion must be drawn from it.
             Err(e) if is_resource_shortage(&e) => return PeekResult::Data,
             Ok(0) | Err(_) => return PeekResult::Closed,
+            Ok(_) if end_was_reported(&peeked) => return PeekResult::DataBeforeEnd,
             Ok(_) => return PeekResult::Data,
         }
     });
     (SharedTcpStream(stream), peek)
 }
+
+/// Whether the system has reported that the peer closed the stream, which it does while data is left to read.
+fn end_was_reported(stream: &TcpStream) -> bool {
+    let mut context = Context::from_waker(Waker::noop());
+    match pin!(stream.ready(Interest::READABLE)).poll(&mut context) {
+        Poll::Ready(Ok(ready)) => ready.is_read_closed(),
+        Poll::Ready(Err(_)) | Poll::Pending => false,
+    }
+}
--- a/crates/transport/src/pending_flow.rs
+++ b/crates/transport/src/pending_flow.rs
@@ -4,6 +4,7 @@
 use super::memory::HeldMemory;
 use super::memory_budget::Reservation;
 use super::network::Peek;
+use super::request_ids::RequestIdClaim;
 use roseproxy_platform::request::ForwardedRequest;
 use roseproxy_routing::flow::Answer;
 use std::rc::Rc;
@@ -15,6 +16,8 @@
     /// Inspects the client's connection.
     pub peek_client: Peek,
     pub answer: oneshot::Sender<Answer>,
+    /// Keeps other requests from using the request's id.
+    pub _id_claim: RequestIdClaim,
     /// Accounts for the memory of the request's head.
     pub _head: HeldMemory,
 }
