Keep the id of a request in use that may have run, once its client has left or it has failed

Cause: Gateway::remove_pending freed the id with the flow, at the departure and at any answer, though the attempt was out or had run. Nothing else knows the id of a flow that has ended. Held against each other: a repeat by the sidecar (one attempt a flow, by its event log 'attempt_began' of two different requests), an attempt that begins after the departure (both began before), the id (this).

Change: where the last byte of an attempt has been written, the claim on the id is retired at a departure and at a failure; a request with that id gets a 409.

Tests, request_ids.rs, failed before: the_id_of_a_request_that_may_have_run_stays_in_use_after_its_client_has_left (closed and reset, while it runs and afterwards), ..._stays_in_use_only_after_an_answer_that_leaves_open_whether_it_ran ('502' where 409 is wanted).

--- a/crates/roseproxy/tests/request_ids.rs
+++ b/crates/roseproxy/tests/request_ids.rs
@@ -1,5 +1,5 @@
 //! Requests with the id of another one. Guards against two requests that config servers run under one id: while the
-//! first one arrives, waits for memory or is served.
+//! first one arrives, waits for memory or is served, and after its client has left.
 
 mod common;
 
@@ -24,6 +24,8 @@
 #[derive(Clone, Copy)]
 enum Reply {
     Serve,
+    Break,
+    Reject,
 }
 
 /// A config server that records the requests that it has read whole, and answers behind a gate.
@@ -56,6 +58,8 @@
             }
             let answer = match self.reply {
                 Reply::Serve => OK_RESPONSE.to_owned(),
+                Reply::Break => return,
+                Reply::Reject => OK_RESPONSE.replace("200 OK", "503 Busy\r\nNot-Started: 1"),
             };
             if stream.write_all(answer.as_bytes()).await.is_err() {
                 return;
@@ -189,3 +193,65 @@
         });
     }
 }
+
+/// Guards against an id that runs twice: its client left while it ran, and it came again. Whether the first attempt
+/// was cancelled, still runs or has ended since tells nothing of what it did.
+#[test]
+fn the_id_of_a_request_that_may_have_run_stays_in_use_after_its_client_has_left() {
+    for reset in [false, true] {
+        run_local(async {
+            let (endpoint, address) = Endpoint::start(Reply::Serve).await;
+            let sidecar = start_sidecar(&[address], ROOM).await;
+            endpoint.answers.close();
+            let first = connect_and_send(sidecar.address, &request_text("place-order", "twice", BODY)).await;
+            wait_until("the order runs", || endpoint.count("twice") == 1).await;
+            if reset {
+                close_with_reset(first);
+            } else {
+                drop(first);
+            }
+            for open in [false, true] {
+                if open {
+                    endpoint.answers.open();
+                }
+                sleep(SETTLING_TIME).await;
+                let answer = send_other(sidecar.address, "twice").await;
+                assert!(answer.starts_with("HTTP/1.1 409"), "reset {reset}, answered {open}: {answer}");
+            }
+            assert_eq!(endpoint.count("twice"), 1, "reset {reset}");
+        });
+    }
+}
+
+/// A failed request may have run, and so may not come again under its id; one that was refused never ran.
+#[test]
+fn the_id_of_a_request_stays_in_use_only_after_an_answer_that_leaves_open_whether_it_ran() {
+    for (reply, first_status, next_status) in
+        [(Reply::Break, "502", "409"), (Reply::Reject, "503", "503"), (Reply::Serve, "200", "200")]
+    {
+        run_local(async {
+            let (endpoint, address) = Endpoint::start(reply).await;
+            let sidecar = start_sidecar(&[address], ROOM).await;
+            let answer = send_other(sidecar.address, "twice").await;
+            assert!(answer.starts_with(&format!("HTTP/1.1 {first_status}")), "{answer}");
+            let before = endpoint.count("twice");
+            let answer = send_other(sidecar.address, "twice").await;
+            assert!(answer.starts_with(&format!("HTTP/1.1 {next_status}")), "{first_status}: {answer}");
+            let sent_again = endpoint.count("twice") > before;
+            assert!(next_status != "409" || !sent_again, "{first_status}: sent on again");
+        });
+    }
+}
+
+/// Ids that stay in use are forgotten once there are very many, so that they take no memory without a bound.
+#[test]
+fn a_bounded_number_of_ids_is_remembered() {
+    let ids = roseproxy_transport::request_ids::RequestIds::default();
+    let id = |number: usize| hyper::header::HeaderValue::from_str(&format!("id-{number}")).expect("a value");
+    for number in 0..100_000 {
+        ids.claim(&id(number)).expect("a new id").retire();
+        assert!(ids.claim(&id(number)).is_none(), "{number}");
+    }
+    assert!(ids.claim(&id(99_000)).is_none(), "recent");
+    assert!(ids.claim(&id(0)).is_some(), "long ago");
+}
--- a/crates/transport/src/attempt.rs
+++ b/crates/transport/src/attempt.rs
@@ -118,6 +118,11 @@
     /// Lets routing check its invariants at the instant at which the first or last byte of an
     /// attempt is written.
     fn record_attempt_stage(&self, id: ForwardId, stage: WriteStage, announced_ms: f64) {
+        if stage == WriteStage::LastByte {
+            if let Some(pending) = self.pending_flows.borrow().get(&id.flow) {
+                pending.written.set(true);
+            }
+        }
         let (now, mut host) = (self.now(), self.host.borrow_mut());
         match stage {
             WriteStage::FirstByte => host.attempt_began(now, id),
--- a/crates/transport/src/gateway.rs
+++ b/crates/transport/src/gateway.rs
@@ -140,7 +140,8 @@
             ended: Rc::default(),
             answer_allowance: AnswerAllowance::new(reserved.answer),
         };
-        let pending = PendingFlow { request, peek_client, answer, _id_claim: id_claim, _head: head };
+        let written = Cell::new(false);
+        let pending = PendingFlow { request, peek_client, answer, id_claim, written, _head: head };
         self.pending_flows.borrow_mut().insert(id, pending);
         self.execute_orders();
         (id, receiver)
@@ -155,7 +156,8 @@
 
     /// Reports that the client of a flow has left. Has no effect on a flow that has been answered.
     pub fn client_left(self: &Rc<Self>, id: FlowId) {
-        if self.remove_pending(id).is_some() {
+        if let Some(pending) = self.remove_pending(id) {
+            pending.end_by_departure();
             self.timed(Activity::Departure, |host, now| host.client_left(now, id));
             self.execute_orders();
         }
@@ -430,9 +432,9 @@
             }
             Order::GiveUp(id) => drop(self.forwards.borrow_mut().remove(&id)),
             Order::Answer(id, answer) => {
-                // A client that left at this very moment does not receive the answer, which is no
-                // loss.
-                self.remove_pending(id).map(|flow| flow.answer.send(answer));
+                if let Some(pending) = self.remove_pending(id) {
+                    pending.end_with(answer);
+                }
             }
             Order::Probe(target, address) => {
                 let task = self.clone().probe(target, address);
