Discard what is unread behind a request before the request is sent on

Cause: the end of a stream comes behind its bytes. Listener::handle_flow starts a flow as soon as the body is whole, the attempt asks Peek whether the client is there, and Peek sees bytes. wait_for_departure reads 64 KiB a turn, so the attempt's turn came first. Held against each other, by length: 0, 1 and 20,000 bytes behind the order hold (the departure is read in the same turn), 300,000 don't; the order of the accept queue (a full set of sockets and 200 clients that left hold); pipelined orders (the connection ends after the first one, none is sent on).

Change: bytes behind a whole request are discarded before it becomes a flow, for up to 50 ms, which count against its time; a client that goes on sending has not left. The departure ends the connection, and with it the request.

Price: none without such bytes (one look at the socket); requests with bytes behind them, which no usual client sends, up to 50 ms.

--- a/crates/transport/src/client_slot.rs
+++ b/crates/transport/src/client_slot.rs
@@ -68,6 +68,8 @@
     pub awaiting_memory: Cell<bool>,
     /// Whether memory has been set aside for a request whose body is still being read.
     pub reading_body: Cell<bool>,
+    /// Whether input behind a whole request is discarded, to find out whether its client has left.
+    pub discarding_input: Cell<bool>,
     /// Whether to close the connection as soon as it is unused, or after the next answer.
     pub close_requested: Cell<bool>,
     /// What the socket was used for when the connection, which had no complete request, was chosen
@@ -102,6 +104,7 @@
             open_flow: Cell::new(None),
             awaiting_memory: Cell::new(false),
             reading_body: Cell::new(false),
+            discarding_input: Cell::new(false),
             close_requested: Cell::new(false),
             eviction_requested: Cell::new(None),
             draining_since: Cell::new(None),
@@ -116,12 +119,17 @@
         (self.peek)() == PeekResult::Empty
     }
 
+    /// Whether a request is in hand that has arrived whole and has no answer yet.
+    pub fn has_whole_request(&self) -> bool {
+        self.open_flow.get().is_some() || self.discarding_input.get()
+    }
+
     /// What the connection uses its socket for.
     pub fn occupancy(&self) -> Occupancy {
         if let Some(since) = self.draining_since.get() {
             return Occupancy::Draining { since };
         }
-        let request_in_hand = self.open_flow.get().is_some() || self.awaiting_memory.get();
+        let request_in_hand = self.has_whole_request() || self.awaiting_memory.get();
         if self.write_blocked_since.get().is_some() || request_in_hand {
             return Occupancy::Answering;
         }
--- a/crates/transport/src/client_stream.rs
+++ b/crates/transport/src/client_stream.rs
@@ -54,13 +54,13 @@
 }
 
 impl<S: AsyncRead + AsyncWrite + Unpin> ClientStream<S> {
-    /// Waits until the client of an open flow has left, by an orderly close or a reset. Meanwhile
-    /// bytes that follow the request are read and discarded; `incoming` counts them, and the
-    /// connection then ends after the answer. While no flow is open this waits without reading.
-    pub async fn wait_for_departure(&self, incoming: &IncomingRequest, flow_open: impl Fn() -> bool) {
+    /// Waits until the client of a request that has arrived whole has left, by an orderly close or a reset.
+    /// Meanwhile bytes that follow the request are read and discarded; `incoming` counts them, and the
+    /// connection then ends after the answer. While there is no such request this waits without reading.
+    pub async fn wait_for_departure(&self, incoming: &IncomingRequest, request_whole: impl Fn() -> bool) {
         poll_fn(|cx| {
             for _ in 0..MAX_READS_PER_POLL {
-                if !flow_open() {
+                if !request_whole() {
                     return Poll::Pending;
                 }
                 match self.poll_discard(cx) {
--- a/crates/transport/src/listener.rs
+++ b/crates/transport/src/listener.rs
@@ -56,6 +56,9 @@
 /// Shortest time between two such records, which share the log's limit of lines with others.
 const LONG_WAIT_RECORD_PERIOD_MS: f64 = 30_000.0;
 
+/// Longest time for which input behind a request is discarded before the request is sent on. A client whose input
+/// does not end sooner has not left.
+const MAX_DISCARD_MS: f64 = 50.0;
 /// Advice to a client whose request was refused for lack of memory (ms).
 const MEMORY_RETRY_AFTER_MS: f64 = 100.0;
 /// Why a request with a body beyond the platform's limit is rejected.
@@ -260,7 +263,7 @@
                     _ = connection.as_mut() => {
                         break if slot.last_answer_given.get() { CloseReason::Answered } else { CloseReason::Client };
                     }
-                    () = client_stream.wait_for_departure(&slot.incoming, || slot.open_flow.get().is_some()) => {
+                    () = client_stream.wait_for_departure(&slot.incoming, || slot.has_whole_request()) => {
                         break CloseReason::Departed;
                     }
                     () = slot.recheck.notified() => {
@@ -373,6 +376,7 @@
         let body = self.read_request_body(body, sent_at, reserved).await;
         slot.reading_body.set(false);
         forwarded.body = body?;
+        new.time_left -= self.discard_input_behind(slot).await;
         let (id, answer) = self.gateway.start_flow(new, forwarded, id_claim, memory, slot.peek.clone());
         let guard = FlowGuard { gateway: self.gateway.clone(), id };
         slot.open_flow.set(Some(id));
@@ -383,6 +387,20 @@
         Ok(to_reply(answer))
     }
 
+    /// Discards what waits unread behind a whole request: it hides whether the client has left, after which the request
+    /// must not be sent on. A departure ends the connection and with it this future. Returns how long it took (ms).
+    async fn discard_input_behind(&self, slot: &ClientSlot) -> f64 {
+        let began_at = self.gateway.now();
+        let mut elapsed_ms = 0.0;
+        while (slot.peek)().has_data() && elapsed_ms < MAX_DISCARD_MS {
+            slot.discarding_input.set(true);
+            tokio::task::yield_now().await;
+            elapsed_ms = self.gateway.now() - began_at;
+        }
+        slot.discarding_input.set(false);
+        elapsed_ms
+    }
+
     /// Reserves the memory of a request of which the first byte was sent at `sent_at` (ms). Until there is enough, the
     /// rest of the request waits unread. Returns `None` if there is not enough in time.
     async fn reserve_memory(&self, slot: &ClientSlot, sent_at: f64, bytes: usize) -> Option<Reservation> {
--- a/crates/transport/src/network.rs
+++ b/crates/transport/src/network.rs
@@ -35,6 +35,11 @@
 }
 
 impl PeekResult {
+    /// Whether data waits to be read.
+    pub fn has_data(self) -> bool {
+        matches!(self, PeekResult::Data | PeekResult::DataBeforeEnd)
+    }
+
     /// Whether the peer is known to have closed the stream, or the stream failed.
     pub fn peer_has_closed(self) -> bool {
         matches!(self, PeekResult::DataBeforeEnd | PeekResult::Closed)
