Remove timers of requests that have ended, which stayed until the requests' time was over

Cause: Host sets timers for each flow, attempt and second copy, up to 60 s ahead, and only their time removes them; the comment said that their number was bounded by what is open. Held against each other, by memory_allocated_bytes: keys and homes (the same key, and new keys with a time of 1.5 s stay at 6.5 to 7.5 MB over 225,000 requests), ids and the event log (the same), connections to config servers (some 100 beside a client so fast, as each rests for 20 ms; flat after 3 s), the timers (new gauge timers_set: 101,126 after 50,000 requests of the test).

Change: once the timers have doubled since the last time, and are 1,024 at least, those of ended flows and attempts are removed; the decision module says of its own whether their request is open. Each timer set pays for at most two looks at one.

Test: requests_that_have_ended_leave_no_timers_behind, failed without the pruning ('101126 timers after 50000 requests').

--- a/crates/decision/src/policy.rs
+++ b/crates/decision/src/policy.rs
@@ -64,7 +64,8 @@
 /// By how much a key's home counts as emptier than it is, as a multiple of the fleet's fullness.
 pub(crate) const HOME_LOAD_DISCOUNT: f64 = 2.0;
 
-// Purpose of a timer: the low three bits of its token. The other bits are the request's id.
+/// The low bits of a timer's token are its purpose; the others are the request's id, or 0.
+pub(crate) const TIMER_PURPOSE_BITS: u32 = 3;
 /// No server was available for the first attempt until the deadline.
 const TIMER_NO_SERVER: u64 = 0;
 /// Awaited probes have not been answered in time.
@@ -108,7 +109,7 @@
             }
             Event::StreamStarted { request } => self.on_stream_started(request),
             Event::ClientLeft { request } => self.forget_request(request),
-            Event::Timer { token } => self.on_timer(token >> 3, token & 7),
+            Event::Timer { token } => self.on_timer(token >> TIMER_PURPOSE_BITS, token & 7),
             Event::ProbeEnded { server, outcome, load, .. } => {
                 let Some(&slot) = self.slot_by_id.get(&server) else { return };
                 self.servers[slot].probe_in_flight = false;
@@ -331,7 +332,8 @@
         if self.probe_for_request(id) {
             self.awaiting_probes.push(id);
             let after = (goal / 10).min(time_left / 4);
-            self.actions.push(Action::SetTimer { token: id << 3 | TIMER_PROBES_OVERDUE, after });
+            self.actions
+                .push(Action::SetTimer { token: id << TIMER_PURPOSE_BITS | TIMER_PROBES_OVERDUE, after });
         } else {
             self.dispatch(id);
         }
@@ -549,7 +551,8 @@
             // A first attempt waits for the server list, a repeat for the attempt that is still in flight.
             if first {
                 let after = (deadline - self.now - self.settings.answer_grace).max(0);
-                self.actions.push(Action::SetTimer { token: request << 3 | TIMER_NO_SERVER, after });
+                self.actions
+                    .push(Action::SetTimer { token: request << TIMER_PURPOSE_BITS | TIMER_NO_SERVER, after });
             } else if self.requests.get(&request).is_some_and(|p| p.attempts_in_flight() == 0) {
                 self.finish(request, GiveUpReason::AttemptsFailed);
             }
@@ -572,7 +575,7 @@
         if overdue_after < left * 0.6 && self.may_repeat(request) {
             if self.settings.second_copies {
                 self.actions.push(Action::SetTimer {
-                    token: request << 3 | TIMER_SECOND_COPY,
+                    token: request << TIMER_PURPOSE_BITS | TIMER_SECOND_COPY,
                     after: overdue_after as Micros,
                 });
             } else if self.repeat_budget >= 1.0 {
--- a/crates/decision/src/snapshot.rs
+++ b/crates/decision/src/snapshot.rs
@@ -1,6 +1,7 @@
 //! Estimates of a balancer, exported for operators; no decision is taken here.
 
 use crate::interface::Micros;
+use crate::policy::TIMER_PURPOSE_BITS;
 use crate::state::{Balancer, SUSPECT_SCORE};
 
 /// A balancer's current estimates, for operators to compare with the observed traffic.
@@ -31,6 +32,12 @@
 }
 
 impl Balancer {
+    /// Whether a timer with this token may still lead to an action: its request is open, or it belongs to none.
+    pub fn awaits_timer(&self, token: u64) -> bool {
+        let request = token >> TIMER_PURPOSE_BITS;
+        request == 0 || self.requests.contains_key(&request)
+    }
+
     /// The estimates as of the last event.
     pub fn snapshot(&self) -> Snapshot {
         let ready = || self.servers.iter().filter(|s| s.ready());
--- a/crates/routing/src/decider.rs
+++ b/crates/routing/src/decider.rs
@@ -12,6 +12,11 @@
     /// Handles an event at time `now` (microseconds) and appends the actions to `out`, in order.
     fn handle(&mut self, now: Micros, event: Event, out: &mut Vec<Action>);
 
+    /// Whether a timer that was set with this token may still lead to an action.
+    fn awaits_timer(&self, _token: u64) -> bool {
+        true
+    }
+
     /// Returns the decider's estimates of its servers.
     fn snapshot(&self) -> Snapshot {
         Snapshot::default()
@@ -23,6 +28,10 @@
         Balancer::handle(self, now, event, out);
     }
 
+    fn awaits_timer(&self, token: u64) -> bool {
+        Balancer::awaits_timer(self, token)
+    }
+
     fn snapshot(&self) -> Snapshot {
         Balancer::snapshot(self)
     }
--- a/crates/routing/src/intake.rs
+++ b/crates/routing/src/intake.rs
@@ -23,6 +23,7 @@
                 key: request.key,
                 time_left: time::to_micros(time_left),
             };
+            self.prune_timers();
             self.set_answer_timer(id);
             self.notify_module(now, Event::Request(event));
         }
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -193,6 +193,21 @@
         }
     }
 
+    /// Removes timers of what has ended, if there are many: clients may give their requests much time,
+    /// and open far more of them meanwhile than are open at once.
+    fn prune_timers(&mut self) {
+        if !self.timers.pruning_is_due() {
+            return;
+        }
+        let (flows, forwards, balancer) = (&self.flows, &self.forwards, &self.balancer);
+        self.timers.prune(|kind| match kind {
+            TimerKind::Module(token) => balancer.awaits_timer(token),
+            TimerKind::Forward(id) => forwards.contains_key(&id),
+            TimerKind::Flow(id) => flows.contains_key(&id),
+            TimerKind::Probe(..) | TimerKind::Watch | TimerKind::ListLease => true,
+        });
+    }
+
     /// Returns the number of flows without an answer.
     pub fn open_flows(&self) -> usize {
         self.flows.len()
@@ -234,6 +249,7 @@
             ("picture_trust_percent", (snapshot.report_trust * 100.0) as u64),
             ("flows_open", self.flows.len() as u64),
             ("forwards_open", self.forwards.len() as u64),
+            ("timers_set", self.timers.len() as u64),
         ]
         .map(|(name, value)| (name.to_owned(), value))
         .to_vec()
--- a/crates/routing/src/timers.rs
+++ b/crates/routing/src/timers.rs
@@ -50,12 +50,17 @@
     }
 }
 
-/// The timers of a host. Each open flow, forward and probe sets a few, so their number is bounded
-/// too.
+/// Number of timers from which on those that nothing waits for are removed.
+const MIN_PRUNED_TIMERS: usize = 1_024;
+
+/// The timers of a host. Each open flow, forward and probe sets a few. They stay when their flow has
+/// ended, until they are due or pruned.
 #[derive(Debug, Default)]
 pub(super) struct Timers {
     heap: BinaryHeap<Entry>,
     last_sequence: u64,
+    /// Number of timers that were left when they were last pruned.
+    left_by_pruning: usize,
 }
 
 impl Timers {
@@ -64,6 +69,24 @@
         self.heap.push(Entry { at, sequence: self.last_sequence, kind });
     }
 
+    /// Number of timers.
+    pub fn len(&self) -> usize {
+        self.heap.len()
+    }
+
+    /// Whether so many timers were set since the last pruning that another one costs no more than
+    /// setting them did.
+    pub fn pruning_is_due(&self) -> bool {
+        self.heap.len() >= MIN_PRUNED_TIMERS.max(2 * self.left_by_pruning)
+    }
+
+    /// Removes the timers that nothing waits for.
+    pub fn prune(&mut self, is_awaited: impl Fn(TimerKind) -> bool) {
+        self.heap.retain(|entry| is_awaited(entry.kind));
+        self.heap.shrink_to(2 * self.heap.len());
+        self.left_by_pruning = self.heap.len();
+    }
+
     pub fn next_time(&self) -> Option<f64> {
         self.heap.peek().map(|entry| entry.at)
     }
--- a/crates/routing/tests/routing.rs
+++ b/crates/routing/tests/routing.rs
@@ -311,3 +311,32 @@
     let rng = Gen::from_size_and_seed(120, 0xf10e);
     QuickCheck::new().rng(rng).tests(400).quickcheck(check_one_answer_each as fn(Vec<Step>) -> TestResult);
 }
+
+/// Guards against memory that grows without end: clients give their requests much time and get their answers at once,
+/// and each request left its timers behind until that time was over.
+#[test]
+fn requests_that_have_ended_leave_no_timers_behind() {
+    const REQUESTS: usize = 50_000;
+    /// Timers of the requests that are open at once, and those that are kept until pruning is worth its cost.
+    const MOST_TIMERS: u64 = 2_500;
+    let timers = |harness: &Harness| {
+        let gauges = harness.host.snapshot();
+        gauges.iter().find(|(name, _)| name == "timers_set").expect("a gauge").1
+    };
+    let mut harness = Harness::new();
+    let waiting = harness.open_flow(QUOTE, 59_000.0);
+    let mut most = 0;
+    for _ in 0..REQUESTS {
+        let id = harness.open_flow(QUOTE, 60_000.0);
+        let attempt = harness.open_forwards.iter().find(|(forward, _)| forward.flow == id).map(|(id, _)| *id);
+        if let Some(attempt) = attempt {
+            harness.end_forward(attempt, ForwardEnd::Served(Bytes::from_static(b"ok")));
+        }
+        harness.wait(0.1);
+        most = most.max(timers(&harness));
+    }
+    assert!(most <= MOST_TIMERS, "{most} timers after {REQUESTS} requests, one of them open");
+    // The timers of a request that is still open are kept.
+    harness.wait(59_000.0);
+    assert_eq!(harness.answers(waiting).len(), 1, "answered at its time limit");
+}
