Scan each byte of a request's head once, and keep only its last line

Cause: IncomingRequest::feed kept the head and parsed it from its start with every part. Ruled out: hyper's own parser, which skips a head whose end has not arrived.

Change: lines are scanned as they end; what is kept is the line that has not. The framing found is the same, wherever a head is cut.

Tests in request_framing.rs: the_work_for_a_head_grows_with_its_length_alone and only_the_last_line_of_a_head_is_kept (before: the whole head); a_head_may_be_cut_anywhere holds before and after.

--- a/crates/transport/src/request_framing.rs
+++ b/crates/transport/src/request_framing.rs
@@ -31,8 +31,8 @@
     last_input_at: Cell<Option<f64>>,
     /// The longest time between two parts of the request (ms).
     longest_pause: Cell<f64>,
-    /// The request's head, until it is complete.
-    head: RefCell<Vec<u8>>,
+    /// Scans the request's head until it is complete.
+    head: RefCell<HeadScanner>,
     framing: Cell<Option<Framing>>,
     /// Number of bytes received after the head.
     bytes_after_head: Cell<u64>,
@@ -67,7 +67,7 @@
 
     /// Number of bytes kept of a head that is not complete.
     pub fn buffered_head_bytes(&self) -> usize {
-        self.head.borrow().len()
+        self.head.borrow().line.len()
     }
 
     /// Counts bytes received after the request that were discarded.
@@ -80,13 +80,13 @@
         self.started_at.set(None);
         self.last_input_at.set(None);
         self.longest_pause.set(0.0);
-        self.head.borrow_mut().clear();
+        *self.head.borrow_mut() = HeadScanner::default();
         self.framing.set(None);
         self.bytes_after_head.set(0);
     }
 
     /// Takes bytes that were received at `now` (ms). Of a head no more than `limit` bytes and one are
-    /// kept.
+    /// scanned.
     pub fn feed(&self, now: f64, bytes: &[u8], limit: usize) {
         let pause = self.last_input_at.replace(Some(now)).map_or(0.0, |last_input_at| now - last_input_at);
         self.longest_pause.set(self.longest_pause.get().max(pause));
@@ -96,45 +96,85 @@
         self.started_at.set(self.started_at.get().or(Some(now)));
         let mut head = self.head.borrow_mut();
         // Guards against an endless head; hyper rejects it.
-        let room = (limit + 1).saturating_sub(head.len());
-        head.extend_from_slice(&bytes[..bytes.len().min(room)]);
-        if let Some((end, framing)) = parse_head(&head) {
-            self.bytes_after_head.set((head.len() - end + bytes.len().saturating_sub(room)) as u64);
+        let room = (limit + 1).saturating_sub(head.length).min(bytes.len());
+        if let Some((used, framing)) = head.push(&bytes[..room]) {
+            self.bytes_after_head.set((bytes.len() - used) as u64);
             self.framing.set(Some(framing));
-            // Frees the buffer: an idle connection must not keep the memory of a large head.
-            *head = Vec::new();
+            // Frees the buffer: an idle connection must not keep the memory of a long line.
+            *head = HeadScanner::default();
         }
     }
 }
 
-/// Returns where a head ends and how it frames its body, or `None` until it is complete. Accepts
-/// the same line endings as hyper.
-fn parse_head(head: &[u8]) -> Option<(usize, Framing)> {
-    let (mut offset, mut has_request_line) = (0, false);
-    let (mut length, mut has_transfer_encoding) = (None, false);
-    for line in head.split_inclusive(|b| *b == b'\n') {
-        offset += line.len();
-        let text = line.strip_suffix(b"\n")?;
-        let text = text.strip_suffix(b"\r").unwrap_or(text);
-        if text.is_empty() && has_request_line {
-            let framing = match (length, has_transfer_encoding) {
-                (Some(_), true) => Framing::Both,
-                (None, true) => Framing::Chunked,
-                (length, false) => Framing::Length(length.unwrap_or(0)),
+/// Scans a head line by line as its bytes arrive, each byte once. Accepts the same line endings as
+/// hyper.
+#[derive(Debug, Default)]
+struct HeadScanner {
+    /// The line that is not complete yet.
+    line: Vec<u8>,
+    /// Number of bytes scanned.
+    length: usize,
+    has_request_line: bool,
+    content_length: Option<u64>,
+    has_transfer_encoding: bool,
+}
+
+impl HeadScanner {
+    /// Takes the bytes that follow. Returns how many of them belong to the head and how it frames its
+    /// body, or `None` until it is complete.
+    fn push(&mut self, bytes: &[u8]) -> Option<(usize, Framing)> {
+        let mut used = 0;
+        for part in bytes.split_inclusive(|byte| *byte == b'\n') {
+            used += part.len();
+            self.length += part.len();
+            if !part.ends_with(b"\n") {
+                self.line.extend_from_slice(part);
+                return None;
+            }
+            let ends_head = if self.line.is_empty() {
+                self.scan_line(part)
+            } else {
+                let mut line = std::mem::take(&mut self.line);
+                line.extend_from_slice(part);
+                let ends_head = self.scan_line(&line);
+                line.clear();
+                self.line = line;
+                ends_head
             };
-            return Some((offset, framing));
+            if ends_head {
+                return Some((used, self.framing()));
+            }
         }
-        has_request_line |= !text.is_empty();
-        let Some(colon) = text.iter().position(|b| *b == b':') else { continue };
+        None
+    }
+
+    /// Scans a line with its ending; returns whether it ends the head.
+    fn scan_line(&mut self, line: &[u8]) -> bool {
+        let text = line.strip_suffix(b"\n").unwrap_or(line);
+        let text = text.strip_suffix(b"\r").unwrap_or(text);
+        if text.is_empty() {
+            return self.has_request_line;
+        }
+        self.has_request_line = true;
+        let Some(colon) = text.iter().position(|byte| *byte == b':') else { return false };
         let (name, value) = (text[..colon].trim_ascii(), &text[colon + 1..]);
         if name.eq_ignore_ascii_case(b"transfer-encoding") {
-            has_transfer_encoding = true;
+            self.has_transfer_encoding = true;
         } else if name.eq_ignore_ascii_case(b"content-length") {
             // hyper rejects values that are not a number.
-            length = Some(std::str::from_utf8(value).ok().and_then(|v| v.trim().parse().ok()).unwrap_or(0));
+            let value = std::str::from_utf8(value).ok().and_then(|value| value.trim().parse().ok());
+            self.content_length = Some(value.unwrap_or(0));
+        }
+        false
+    }
+
+    fn framing(&self) -> Framing {
+        match (self.content_length, self.has_transfer_encoding) {
+            (Some(_), true) => Framing::Both,
+            (None, true) => Framing::Chunked,
+            (length, false) => Framing::Length(length.unwrap_or(0)),
         }
     }
-    None
 }
 
 /// Feeds the bytes received on a client's stream to an [`IncomingRequest`].
--- a/crates/transport/tests/request_framing.rs
+++ b/crates/transport/tests/request_framing.rs
@@ -48,3 +48,55 @@
     incoming.feed(900.0, b"GET ", 1000);
     assert_eq!((incoming.last_input_at(), incoming.longest_pause()), (Some(900.0), 0.0));
 }
+
+/// The framing is the same wherever a head is cut.
+#[test]
+fn a_head_may_be_cut_anywhere() {
+    for head in [
+        "POST / HTTP/1.1\r\nContent-Length: 3\r\nX: y\r\n\r\nabc",
+        "\r\nPOST / HTTP/1.1\nTransfer-Encoding: chunked\n\nabc",
+        "POST / HTTP/1.1\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\nabc",
+        "GET / HTTP/1.1\r\n:\r\n\r\nabc",
+    ] {
+        let whole = framing_of(head);
+        assert!(whole.is_some(), "{head:?}");
+        for cut in 1..head.len() {
+            let incoming = IncomingRequest::default();
+            incoming.feed(0.0, &head.as_bytes()[..cut], 1000);
+            incoming.feed(1.0, &head.as_bytes()[cut..], 1000);
+            assert_eq!(incoming.framing(), whole, "{head:?} cut at {cut}");
+            assert_eq!(incoming.has_no_trailing_bytes(), whole == Some(Framing::Length(3)), "{head:?}");
+        }
+    }
+}
+
+/// A head of very many short fields that arrives in small parts keeps no more than its last line.
+#[test]
+fn only_the_last_line_of_a_head_is_kept() {
+    let incoming = IncomingRequest::default();
+    incoming.feed(0.0, b"GET / HTTP/1.1\r\n", 20_000);
+    for number in 0..2_000 {
+        incoming.feed(0.0, format!("f{number}:\r\nf").as_bytes(), 20_000);
+        assert_eq!(incoming.buffered_head_bytes(), 1);
+    }
+}
+
+/// Time that it takes to feed a head of this many bytes, byte by byte.
+fn time_to_feed(bytes: usize) -> std::time::Duration {
+    let head = "GET / HTTP/1.1\r\n".to_owned() + &"f:\r\n".repeat(bytes / 4);
+    let incoming = IncomingRequest::default();
+    let began = std::time::Instant::now();
+    for byte in head.as_bytes() {
+        incoming.feed(0.0, &[*byte], usize::MAX / 2);
+    }
+    began.elapsed()
+}
+
+/// Guards against a process that is kept busy by heads in small parts: the whole head was searched again at each part.
+#[test]
+fn the_work_for_a_head_grows_with_its_length_alone() {
+    const FACTOR: u32 = 16;
+    let (short, long) = (time_to_feed(16_000), time_to_feed(16_000 * FACTOR as usize));
+    // Work that grows with the square of the length takes 256 times as long.
+    assert!(long < short * FACTOR * 4, "{short:?} for a short head, {long:?} for one {FACTOR} times as long");
+}
