--- a/crates/roseproxy/tests/common/mod.rs
+++ b/crates/roseproxy/tests/common/mod.rs
@@ -5,6 +5,7 @@
 pub mod cold_fleet;
 pub mod faulty;
 pub mod gated;
+pub mod process;
 pub mod registry;
 
 use roseproxy::process_memory::UncountedMemory;
--- a/crates/roseproxy/tests/list_after_restart.rs
+++ b/crates/roseproxy/tests/list_after_restart.rs
@@ -13,13 +13,12 @@
 
 mod common;
 
+use common::process::{connect_once_ready, Process};
 use common::*;
 use serde_json::json;
 use std::net::SocketAddr;
-use std::path::PathBuf;
-use std::process::{Child, Command, Stdio};
 use std::time::Duration;
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::TcpListener;
 use tokio::task::spawn_local;
 use tokio::time::sleep;
 
@@ -30,43 +29,16 @@
 const REQUESTS: usize = 150;
 const REQUEST_INTERVAL: Duration = Duration::from_millis(10);
 
-const READY_REQUEST: &str = "GET /health/ready HTTP/1.1\r\nHost: a\r\n\r\n";
-
-/// A sidecar process and its configuration file; both are removed when the test ends, also by a panic.
-struct Process {
-    child: Child,
-    config: PathBuf,
-    address: SocketAddr,
-}
-
-impl Drop for Process {
-    fn drop(&mut self) {
-        let _ = self.child.kill();
-        let _ = self.child.wait();
-        let _ = std::fs::remove_file(&self.config);
-    }
-}
-
 /// Starts a sidecar process with a known list in which the endpoints `kept` are in service.
 async fn start_with_kept_list(seed: u64, discovery: SocketAddr, kept: &[SocketAddr]) -> Process {
-    let (socket, address) = bind_port().await;
-    drop(socket);
     let in_service: Vec<_> = kept.iter().map(|endpoint| (*endpoint, "in_service")).collect();
     let mut file = config_with_short_latency_goals().file;
-    file["listen"] = json!(address.to_string());
     file["discovery"] = json!(discovery.to_string());
     file["seed"] = json!(format!("{seed:x}"));
     file["known"] = serde_json::from_str(&list_json(1, true, &in_service)).expect("a list");
     file["settings"]["fleet_size"] = json!(FLEET_SIZE);
     file["settings"]["obligations"]["must_ask_in"] = json!(10_000_000);
-    let config = std::env::temp_dir().join(format!("roseproxy-kept-{seed}-{}.json", std::process::id()));
-    std::fs::write(&config, file.to_string()).expect("written");
-    let child = Command::new(env!("CARGO_BIN_EXE_roseproxy"))
-        .env("LB_CONFIG", &config)
-        .stderr(Stdio::null())
-        .spawn()
-        .expect("the program starts");
-    Process { child, config, address }
+    Process::start(&format!("kept-{seed}"), file).await
 }
 
 /// Runs a discovery that reports on every watch that `endpoint` has left, and keeps the watch open.
@@ -83,18 +55,6 @@
     }
 }
 
-/// Connects, and returns the connection once the sidecar reports that it is ready.
-async fn connect_once_ready(sidecar: SocketAddr) -> TcpStream {
-    loop {
-        if let Ok(mut client) = TcpStream::connect(sidecar).await {
-            if exchange(&mut client, READY_REQUEST).await.starts_with("HTTP/1.1 200") {
-                return client;
-            }
-        }
-        sleep(REQUEST_INTERVAL).await;
-    }
-}
-
 /// Sends requests one after another as soon as the sidecar reports that it is ready.
 async fn run_application(sidecar: SocketAddr) {
     let mut client = connect_once_ready(sidecar).await;
