Tell the process behind a target from the one before it at its address or under its id

An idle connection and a probe outlive their process. A new target at the address of one that the list still has in service gets what is meant for the old one, beside its own and beyond what it bears cold.

Cause: routing knows a target by its id alone. The address of an attempt is taken when it is ordered, and Host::may_write looked at the readiness of whatever the id means at the write. Held against each other: the pool (it compares addresses and held), start times and budgets (kept by id and listed start, held), ids of the connection (a probe's answer is matched by its number, but was counted for whoever has the id then: this), the check at the write (this).

Change: an attempt keeps the address and start for which it was decided, and is withheld, as never sent, if the list has named others since (endpoint_replaced). A change of either closes the target's idle connections and ends its probe. Where two targets in service have one address, the one that started earlier has gone: it gets nothing more, until the list gives it an address of its own.

--- a/crates/routing/src/flow.rs
+++ b/crates/routing/src/flow.rs
@@ -83,6 +83,22 @@
     pub readiness: Readiness,
 }
 
+/// The process behind a target: another one may come up at its address, or under its id.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(super) struct TargetProcess {
+    /// Address on which it listens.
+    pub address: SocketAddr,
+    /// When it started, in clock time (ms); `None` if that was long ago.
+    pub started_at: Option<f64>,
+}
+
+impl Target {
+    /// The process that the list names.
+    pub(super) fn process(&self) -> TargetProcess {
+        TargetProcess { address: self.address, started_at: self.started_at }
+    }
+}
+
 /// Result of a probe.
 #[derive(Clone, Copy, Debug)]
 pub struct ProbeEnd {
--- a/crates/routing/src/guard.rs
+++ b/crates/routing/src/guard.rs
@@ -28,6 +28,8 @@
     EndpointGone,
     /// The target is draining.
     EndpointLeaving,
+    /// Another process has come up at the target's address or under its id.
+    EndpointReplaced,
     /// An earlier attempt is still open, and the settings allow no second copy beside it.
     SecondCopy,
     /// An earlier attempt may have run, and the class is unsafe to repeat.
@@ -43,7 +45,7 @@
 }
 
 /// All reasons with their names in the counters and in the event log.
-pub const WITHHELD_REASONS: [(WithheldReason, &str); 13] = [
+pub const WITHHELD_REASONS: [(WithheldReason, &str); 14] = [
     (WithheldReason::RequestEnded, "request_ended"),
     (WithheldReason::ClientLeft, "client_left"),
     (WithheldReason::WrittenTooLate, "written_too_late"),
@@ -51,6 +53,7 @@
     (WithheldReason::AttemptsSpent, "attempts_spent"),
     (WithheldReason::EndpointGone, "endpoint_gone"),
     (WithheldReason::EndpointLeaving, "endpoint_leaving"),
+    (WithheldReason::EndpointReplaced, "endpoint_replaced"),
     (WithheldReason::SecondCopy, "second_copy"),
     (WithheldReason::MayHaveRun, "may_have_run"),
     (WithheldReason::OutsideGroup, "outside_group"),
@@ -109,6 +112,10 @@
             return Err(WithheldReason::OutOfTime);
         }
         let member = self.check_accepts_work(now, target)?;
+        // The connection may lead to a process that has gone, or to the wrong one.
+        if self.forwards.get(&id).is_some_and(|forward| forward.process != member.target.process()) {
+            return Err(WithheldReason::EndpointReplaced);
+        }
         let write_deadline = self.repeat_deadline(request, id.attempt, member)?;
         if now >= write_deadline {
             return Err(WithheldReason::WindowOver);
--- a/crates/routing/src/intake.rs
+++ b/crates/routing/src/intake.rs
@@ -1,8 +1,10 @@
 //! Stage 1: requests become flows, and lists from discovery update the targets.
 
-use super::flow::{FlowId, NewFlow, Target};
+use super::flow::{FlowId, NewFlow, Order, ProbeEnd, Target};
 use super::{time, EventKind, Flow, Host, Member, TIME_RESERVE_MS};
-use roseproxy_decision::interface::{Event, Readiness, Request, Server, Update};
+use roseproxy_decision::interface::{Event, Outcome, Readiness, Request, Server, ServerId, Update};
+use std::collections::HashMap;
+use std::net::SocketAddr;
 
 impl Host {
     /// Accepts a request that a client has sent completely. It is owed exactly one answer, which is
@@ -55,6 +57,7 @@
                 self.events.record(now, None, EventKind::Endpoint { endpoint, readiness });
             }
         }
+        let mut replaced = Vec::new();
         for target in targets {
             let member = self.members.entry(target.id).or_insert_with(|| Member {
                 target: target.clone(),
@@ -65,17 +68,60 @@
             if member.target.readiness != readiness {
                 self.events.record(now, None, EventKind::Endpoint { endpoint: target.id, readiness });
             }
+            if member.target.process() != target.process() {
+                replaced.push(target.id);
+            }
             member.target = target.clone();
             match readiness {
                 Readiness::Ready => member.leaving_since = None,
                 Readiness::Draining | Readiness::Gone => member.mark_leaving(now, readiness),
             }
         }
-        let servers: Vec<Server> = targets.iter().map(server_entry).collect();
+        let superseded = self.retire_superseded(now);
+        let listed = targets.iter().filter(|target| !superseded.iter().any(|other| other.id == target.id));
+        let servers: Vec<Server> = listed.chain(&superseded).map(server_entry).collect();
         self.notify_module(now, Event::Servers { update, servers: &servers });
+        replaced.into_iter().for_each(|id| self.forget_process(now, id));
         self.remove_gone_members();
     }
 
+    /// Ends what is under way with the former process of a target: its idle connections and its probe.
+    /// Attempts are stopped when they are about to be written.
+    fn forget_process(&mut self, now: f64, id: ServerId) {
+        self.orders.push_back(Order::CloseIdle(id));
+        if self.members.get(&id).is_some_and(|member| member.probe.is_some()) {
+            self.orders.push_back(Order::GiveUpProbe(id));
+            self.probe_ended(now, id, ProbeEnd { outcome: Outcome::Cancelled, load: None });
+        }
+    }
+
+    /// Takes targets out of service at whose address another one has started since: their processes have
+    /// gone, which the list tells later. Returns them.
+    fn retire_superseded(&mut self, now: f64) -> Vec<Target> {
+        let in_service = |member: &&Member| member.target.readiness == Readiness::Ready;
+        let mut latest_starts: HashMap<SocketAddr, f64> = HashMap::new();
+        for target in self.members.values().filter(in_service).map(|member| &member.target) {
+            let start = target.started_at.unwrap_or(f64::NEG_INFINITY);
+            let latest = latest_starts.entry(target.address).or_insert(start);
+            *latest = latest.max(start);
+        }
+        let mut superseded = Vec::new();
+        for member in self.members.values_mut().filter(|member| member.target.readiness == Readiness::Ready) {
+            let start = member.target.started_at.unwrap_or(f64::NEG_INFINITY);
+            if latest_starts.get(&member.target.address).is_some_and(|latest| start < *latest) {
+                member.mark_leaving(now, Readiness::Gone);
+                superseded.push(member.target.clone());
+            }
+        }
+        // Nothing may depend on the order of a hash table.
+        superseded.sort_unstable_by_key(|target| target.id);
+        for target in &superseded {
+            let event = EventKind::Endpoint { endpoint: target.id, readiness: Readiness::Gone };
+            self.events.record(now, None, event);
+        }
+        superseded
+    }
+
     /// In a list that may be older than the current one, keeps the readiness of targets that are
     /// leaving, unless they have restarted since.
     pub fn preserve_leaving(&self, targets: &mut [Target]) {
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -32,7 +32,7 @@
 use counters::Counters;
 use decider::Decider;
 use event_log::{Activity, EventKind, EventLog, RefusalReason};
-use flow::{FlowId, ForwardId, Order, Target};
+use flow::{FlowId, ForwardId, Order, Target, TargetProcess};
 use roseproxy_decision::interface::{Action, ClassId, Micros, Outcome, Readiness, ServerId, Settings};
 use roseproxy_decision::policy::Balancer;
 use roseproxy_fleet::discovery_calls::PushBackoff;
@@ -66,6 +66,8 @@
 #[derive(Debug)]
 struct Forward {
     target: ServerId,
+    /// The process for which the target was chosen.
+    process: TargetProcess,
     sent_at: f64,
     /// Whether writing of the attempt's first byte was permitted.
     written: bool,
--- a/crates/routing/src/send.rs
+++ b/crates/routing/src/send.rs
@@ -21,17 +21,18 @@
         if let Err(reason) = self.may_send(now, id, target, allowed) {
             return self.withhold_attempt(now, id, target, reason);
         }
-        let Some(address) = self.members.get(&target).map(|m| m.target.address) else {
+        let Some(process) = self.members.get(&target).map(|m| m.target.process()) else {
             return self.withhold_attempt(now, id, target, WithheldReason::EndpointGone);
         };
         self.counters.forwards_sent += 1;
         self.counters.count_attempt(reason);
         self.record_call(now, target);
-        self.forwards.insert(id, Forward { target, sent_at: now, written: false });
+        self.forwards.insert(id, Forward { target, process, sent_at: now, written: false });
         self.timers.set(now + allowed, TimerKind::Forward(id));
         let ordered =
             EventKind::AttemptOrdered { attempt: id.attempt, reason, endpoint: target, timeout: allowed };
         self.events.record(now, Some(id.flow), ordered);
+        let address = process.address;
         self.orders.push_back(Order::Forward { id, target, address, timeout: allowed });
     }
 
