Count what became of an attempt at a server's former process for nobody

Seen by test (picture d): ten attempts that broke when a server's process ended are reported after the list has named its new process, and eject the new one.

Cause: Balancer::handle counts each outcome for the server's present entry. ServerState::update drops what was learned when the start changes, but not what arrives later.

Change: outcomes of attempts that were sent before the list named the present process teach nothing; the request goes on as before.

Test: failures_of_a_former_process_do_not_count_against_the_new_one, failed before (1 server ejected).

--- a/crates/decision/src/policy.rs
+++ b/crates/decision/src/policy.rs
@@ -101,10 +101,12 @@
             Event::AttemptEnded { request, attempt, server, outcome, elapsed, finished, load } => {
                 let Some(&slot) = self.slot_by_id.get(&server) else { return };
                 self.count_attempt_end(request, slot, outcome == Outcome::Served);
-                if outcome == Outcome::Served {
-                    self.count_answer(slot);
+                if self.reached_present_process(request, attempt, slot, elapsed) {
+                    if outcome == Outcome::Served {
+                        self.count_answer(slot);
+                    }
+                    self.learn_from_outcome(slot, outcome, load, false);
                 }
-                self.learn_from_outcome(slot, outcome, load, false);
                 self.on_attempt_ended(request, attempt, outcome, elapsed, finished);
             }
             Event::StreamStarted { request } => self.on_stream_started(request),
--- a/crates/decision/src/state.rs
+++ b/crates/decision/src/state.rs
@@ -75,6 +75,8 @@
     pub may_be_connected: bool,
     /// When the last attempt was sent.
     pub last_sent_at: Micros,
+    /// When the list first named the server's present process.
+    pub known_since: Micros,
 }
 
 impl ServerState {
@@ -98,6 +100,7 @@
                 probe_in_flight,
                 unanswered_since: now,
                 recent_as_of: now,
+                known_since: now,
                 ..ServerState::default()
             };
         }
@@ -295,6 +298,20 @@
         }
     }
 
+    /// Whether an attempt was sent to the server's present process. What became of one that was sent to the
+    /// process before it says nothing of this one.
+    pub(crate) fn reached_present_process(
+        &self,
+        request: RequestId,
+        attempt: usize,
+        slot: usize,
+        elapsed: Micros,
+    ) -> bool {
+        let attempt = self.requests.get(&request).and_then(|pending| pending.attempts.get(attempt));
+        let sent_at = attempt.map_or(self.now - elapsed, |attempt| attempt.sent_at);
+        sent_at >= self.servers[slot].known_since
+    }
+
     /// Counts the streams of a forgotten request as in flight again: their ends are still to come, and each
     /// takes one off the count.
     pub(crate) fn recount_streams(&mut self, pending: &PendingRequest) {
--- a/crates/decision/tests/failures.rs
+++ b/crates/decision/tests/failures.rs
@@ -471,3 +471,27 @@
     assert!(first.len() > 500);
     assert_eq!(first, run());
 }
+
+/// Guards against a new process that is taken for the one before it: attempts that broke when the old one ended are
+/// reported after the list has named the new one, and must not eject it.
+#[test]
+fn failures_of_a_former_process_do_not_count_against_the_new_one() {
+    let ejected_after = |restarts: bool| {
+        let mut d = Driver::new(settings(), 17, 1);
+        send_requests(&mut d, 1, 50, healthy);
+        let sent_at = d.now;
+        for id in 100..110 {
+            d.request(id, 1);
+        }
+        if restarts {
+            let restarted = Server { started_at: Some(d.now), ..server(0) };
+            d.advance(1_000).update_list(Update::Changes, &[restarted]);
+        }
+        for id in 100..110 {
+            let elapsed = d.advance(1_000).now - sent_at;
+            d.end_attempt_after(id, 0, 0, Outcome::Broken, elapsed, None);
+        }
+        d.balancer.snapshot().set_aside
+    };
+    assert_eq!((ejected_after(false), ejected_after(true)), (1, 0));
+}
