Bring no target back by lists that are behind, until they have caught up

Sidecars that were told that a server is gone send to it again, 20 attempts up to 3.2 s too late, once SIGHUP has moved them to a discovery whose list is five seconds further behind.

And Watcher::apply compared a revision with that of the list before it alone, so the second list of a replica that catches up was believed whatever it said: that broke the rule for a server that drains as well. Held against each other: a late change on the old watch (it had ended), an entry with a start of its own (the same start, 0).

Change: targets that have gone are remembered, 8,192 of them with their starts; lists are behind until they reach the highest revision, or for a minute, after which discovery has restarted its numbering.

Tests: a_list_with_a_lower_revision_brings_no_target_back takes the place of ..._does_not_end_a_drain, whose second lower list was to be believed at once, which is the fault; it fails on the code before and asks for more: both ways of leaving, catching up, restarted numbering. an_outdated_list_undoes_nothing_and_loses_nothing is new.

--- a/crates/roseproxy/tests/crossings.rs
+++ b/crates/roseproxy/tests/crossings.rs
@@ -437,31 +437,45 @@
     });
 }
 
-/// A list with a lower revision than the one in hand comes from a replica of discovery that lags behind: it must not
-/// return a draining target to service. If discovery has restarted its numbering, its next list is applied.
+/// A list with a lower revision than another one before it comes from a replica of discovery that lags behind and
+/// catches up: it must not return a target to service that drains or has gone. Discovery is taken to have restarted
+/// its numbering once its lists have been behind for longer than any replica is.
 #[test]
-fn a_list_with_a_lower_revision_does_not_end_a_drain() {
-    run_local(async {
-        let ((socket, address), (_, target)) = (bind_port().await, bind_port().await);
-        let sidecar = start_sidecar_on(Tcp, pushed_config(), Clock::system(), &[target], 8, 20).await;
-        start_watch(&sidecar, address, Some(7));
-        let mut stream = accept_watch(&socket).await;
-        let lists = [
-            (8, false, "terminating", false),
-            (6, true, "in_service", false),
-            (7, false, "in_service", true),
-            (8, false, "terminating", false),
-            (9, true, "in_service", true),
-        ];
-        // The count starts at 2, as it includes the list that the sidecar starts with.
-        for (list_count, (revision, complete, phase, serves)) in (2..).zip(lists) {
-            let text = list_json(revision, complete, &[(target, phase)]) + "\n";
-            write_chunk(&mut stream, &text).await.expect("read");
-            wait_until("the list is taken", || counter(&sidecar.gateway, "discovery_lists") == list_count)
+fn a_list_with_a_lower_revision_brings_no_target_back() {
+    for leaves in ["terminating", "terminated"] {
+        run_local(async {
+            let ((socket, address), (_, target)) = (bind_port().await, bind_port().await);
+            let clock = Clock::manual(1_000_000.0);
+            let sidecar = start_sidecar_on(Tcp, pushed_config(), clock.clone(), &[target], 8, 20).await;
+            start_watch(&sidecar, address, Some(7));
+            let mut stream = accept_watch(&socket).await;
+            // Each with the time since the list before it (ms).
+            let lists = [
+                (8, false, leaves, 0.0, false),
+                (6, true, "in_service", 0.0, false),
+                (7, false, "in_service", 0.0, false),
+                (8, false, leaves, 0.0, false),
+                (9, true, "in_service", 0.0, true),
+                (10, false, leaves, 0.0, false),
+                (3, true, "in_service", 0.0, false),
+                (4, false, "in_service", 59_000.0, false),
+                (5, false, "in_service", 1_000.0, true),
+                (6, false, leaves, 0.0, false),
+                (5, false, "in_service", 0.0, false),
+            ];
+            // The count starts at 2, as it includes the list that the sidecar starts with.
+            for (list_count, (revision, complete, phase, later, serves)) in (2..).zip(lists) {
+                clock.set(clock.now() + later);
+                let text = list_json(revision, complete, &[(target, phase)]) + "\n";
+                write_chunk(&mut stream, &text).await.expect("read");
+                wait_until("the list is taken", || {
+                    counter(&sidecar.gateway, "discovery_lists") == list_count
+                })
                 .await;
-            assert_eq!(sidecar.gateway.can_serve(), serves, "{revision} {phase}");
-        }
-    });
+                assert_eq!(sidecar.gateway.can_serve(), serves, "{revision} {phase}, {leaves}");
+            }
+        });
+    }
 }
 
 /// A decision module that requests a watch with each request, and does nothing else.
--- a/crates/routing/src/intake.rs
+++ b/crates/routing/src/intake.rs
@@ -3,7 +3,7 @@
 use super::flow::{FlowId, NewFlow, Order, ProbeEnd, Target};
 use super::{time, EventKind, Flow, Host, Member, TIME_RESERVE_MS};
 use roseproxy_decision::interface::{Event, Outcome, Readiness, Request, Server, ServerId, Update};
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 
 impl Host {
@@ -49,7 +49,7 @@
         self.counters.lists_taken += 1;
         self.push_backoff.on_list();
         if update == Update::Complete {
-            let named: std::collections::HashSet<_> = targets.iter().map(|t| t.id).collect();
+            let named: HashSet<_> = targets.iter().map(|t| t.id).collect();
             let absent = self.members.values_mut().filter(|m| !named.contains(&m.target.id));
             for member in absent.filter(|m| m.target.readiness != Readiness::Gone) {
                 member.mark_leaving(now, Readiness::Gone);
@@ -62,6 +62,7 @@
             let member = self.members.entry(target.id).or_insert_with(|| Member {
                 target: target.clone(),
                 leaving_since: None,
+                may_return: false,
                 probe: None,
             });
             let readiness = target.readiness;
@@ -73,7 +74,7 @@
             }
             member.target = target.clone();
             match readiness {
-                Readiness::Ready => member.leaving_since = None,
+                Readiness::Ready => (member.leaving_since, member.may_return) = (None, false),
                 Readiness::Draining | Readiness::Gone => member.mark_leaving(now, readiness),
             }
         }
@@ -122,13 +123,35 @@
         superseded
     }
 
-    /// In a list that may be older than the current one, keeps the readiness of targets that are
-    /// leaving, unless they have restarted since.
-    pub fn preserve_leaving(&self, targets: &mut [Target]) {
+    /// Applies a list that may be older than what is known. It brings no target back to service that is
+    /// leaving or has gone, unless that has restarted since, and a target that it doesn't name may come
+    /// with the next one.
+    pub fn update_by_outdated_list(&mut self, now: f64, update: Update, mut targets: Vec<Target>) {
+        self.keep_later_knowledge(&mut targets);
+        if update == Update::Complete {
+            let named: HashSet<_> = targets.iter().map(|target| target.id).collect();
+            let in_service = |member: &&mut Member| member.target.readiness == Readiness::Ready;
+            let absent =
+                self.members.values_mut().filter(in_service).filter(|m| !named.contains(&m.target.id));
+            absent.for_each(|member| member.may_return = true);
+        }
+        self.update_targets(now, update, &targets);
+    }
+
+    /// In an outdated list, keeps later starts and the readiness of targets that are leaving or gone.
+    fn keep_later_knowledge(&self, targets: &mut [Target]) {
+        let returns = |target: &Target| target.readiness == Readiness::Ready;
         for target in targets {
-            let known = self.members.get(&target.id).filter(|m| m.leaving_since.is_some());
-            if let Some(member) = known.filter(|m| m.target.started_at == target.started_at) {
-                target.readiness = member.target.readiness;
+            match self.members.get(&target.id).map(|member| &member.target) {
+                Some(known) if known.started_at > target.started_at => *target = known.clone(),
+                Some(known) if known.started_at == target.started_at && returns(target) => {
+                    target.readiness = known.readiness;
+                }
+                Some(_) => {}
+                None if self.departed.contains(target) && returns(target) => {
+                    target.readiness = Readiness::Gone
+                }
+                None => {}
             }
         }
     }
@@ -136,9 +159,19 @@
     /// Drops members that are gone and idle; otherwise the map would grow with every machine ever
     /// seen.
     fn remove_gone_members(&mut self) {
-        let busy: std::collections::HashSet<_> = self.forwards.values().map(|f| f.target).collect();
-        self.members
-            .retain(|id, m| m.target.readiness != Readiness::Gone || m.probe.is_some() || busy.contains(id));
+        let busy: HashSet<_> = self.forwards.values().map(|f| f.target).collect();
+        let is_over = |id: &ServerId, m: &Member| {
+            m.target.readiness == Readiness::Gone && m.probe.is_none() && !busy.contains(id)
+        };
+        let mut over: Vec<ServerId> =
+            self.members.iter().filter(|(id, m)| is_over(id, m)).map(|(id, _)| *id).collect();
+        // Nothing may depend on the order of a hash table.
+        over.sort_unstable();
+        for id in over {
+            if let Some(member) = self.members.remove(&id).filter(|member| !member.may_return) {
+                self.departed.insert(&member.target);
+            }
+        }
     }
 }
 
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod answers;
 pub mod counters;
 pub mod decider;
+mod departed;
 pub mod discovery;
 pub mod dispatch;
 pub mod event_log;
@@ -31,6 +32,7 @@
 
 use counters::Counters;
 use decider::Decider;
+use departed::DepartedTargets;
 use event_log::{Activity, EventKind, EventLog, RefusalReason};
 use flow::{FlowId, ForwardId, Order, Target, TargetProcess};
 use roseproxy_decision::interface::{Action, ClassId, Micros, Outcome, Readiness, ServerId, Settings};
@@ -91,6 +93,8 @@
     target: Target,
     /// Time at which this sidecar first learned that the target takes no new work (ms).
     leaving_since: Option<f64>,
+    /// Whether it has gone only because an outdated list did not name it.
+    may_return: bool,
     /// Number and start time of the open probe.
     probe: Option<(u64, f64)>,
 }
@@ -112,6 +116,8 @@
     flows: HashMap<FlowId, Flow>,
     forwards: HashMap<ForwardId, Forward>,
     members: HashMap<ServerId, Member>,
+    /// Targets that have gone and are no members any more.
+    departed: DepartedTargets,
     timers: Timers,
     ended_forwards: VecDeque<EndedForward>,
     actions: Vec<Action>,
@@ -157,6 +163,7 @@
             flows: HashMap::new(),
             forwards: HashMap::new(),
             members: HashMap::new(),
+            departed: DepartedTargets::default(),
             timers: Timers::default(),
             ended_forwards: VecDeque::new(),
             actions: Vec::new(),
--- a/crates/routing/tests/replaced_targets.rs
+++ b/crates/routing/tests/replaced_targets.rs
@@ -177,3 +177,27 @@
     assert!(harness.host.begin_write(NOW_MS + 3.0, connecting).is_some());
     harness.host.forward_ended(NOW_MS + 4.0, connecting, ForwardEnd::Served(Bytes::from_static(b"ok")), None);
 }
+
+/// A replica of discovery that is behind another one sends its list, and then the changes up to what was known.
+#[test]
+fn an_outdated_list_undoes_nothing_and_loses_nothing() {
+    let mut harness = Harness::new();
+    let readiness = |harness: &Harness| harness.told.borrow().readiness.last().copied();
+    let restarted = target(OLD, 7001, Some(NOW_MS));
+    harness.update(NOW_MS, &[restarted.clone(), target(NEW, 7002, None)]);
+    // The list is from before the restart of the one target and the arrival of the other.
+    let before = vec![target(OLD, 7001, None)];
+    harness.host.update_by_outdated_list(NOW_MS + 1.0, Update::Complete, before);
+    let attempt = harness.request(NOW_MS + 2.0);
+    assert!(harness.host.begin_write(NOW_MS + 3.0, attempt).is_some(), "the start stays as it was known");
+    harness.host.update_by_outdated_list(NOW_MS + 4.0, Update::Changes, vec![target(NEW, 7002, None)]);
+    assert_eq!(readiness(&harness), Some((NEW, Readiness::Ready)), "its arrival comes with the changes");
+    // A target that was told to have gone stays away, and comes back with a start of its own.
+    let gone = Target { readiness: Readiness::Gone, ..target(NEW, 7002, None) };
+    harness.update(NOW_MS + 5.0, &[gone]);
+    harness.host.update_by_outdated_list(NOW_MS + 6.0, Update::Changes, vec![target(NEW, 7002, None)]);
+    assert_eq!(readiness(&harness), Some((NEW, Readiness::Gone)), "known to have gone");
+    let back = target(NEW, 7002, Some(NOW_MS + 6.0));
+    harness.host.update_by_outdated_list(NOW_MS + 7.0, Update::Changes, vec![back]);
+    assert_eq!(readiness(&harness), Some((NEW, Readiness::Ready)), "started again");
+}
--- a/crates/transport/src/discovery.rs
+++ b/crates/transport/src/discovery.rs
@@ -35,6 +35,9 @@
 /// A watch that was open for at least this long may be reopened without a pause if it sent
 /// something that could not be decoded.
 const MIN_HEALTHY_WATCH_MS: f64 = 4_500.0;
+/// Longest time for which a replica of discovery may be behind another one; its lists are several
+/// seconds late at most.
+const MAX_LIST_LAG_MS: f64 = 60_000.0;
 /// Largest list that is read, as a guard against one without end: three times the list of the
 /// largest fleets, indented.
 const MAX_LIST_BYTES: usize = 4 << 20;
@@ -50,6 +53,9 @@
     revision: Option<u64>,
     /// The revision of the list applied last, whatever its source.
     last_revision: u64,
+    /// The highest revision that counts, and since when lists have been behind it (ms).
+    highest_revision: u64,
+    behind_since: Option<f64>,
     /// The revision for which the complete list was requested because an entry could not be
     /// decoded.
     refetched_for: Option<u64>,
@@ -76,6 +82,8 @@
             address,
             revision: known_revision,
             last_revision,
+            highest_revision: last_revision,
+            behind_since: None,
             refetched_for: None,
             unanswered_calls: 0,
             process_start,
@@ -273,10 +281,7 @@
         match listing {
             Ok(ListUpdate { revision, update, targets, unreadable_entries: unread }) => {
                 counters.lists_unread.set(counters.lists_unread.get() + unread as u64);
-                // A list with an older revision may predate a drain announcement. It may also come
-                // from a discovery that restarted its numbering, so everything else in it is
-                // applied.
-                let behind = revision < self.last_revision;
+                let behind = self.is_behind(revision);
                 (self.revision, self.last_revision) = (Some(revision), revision);
                 let (complete, entries) = (update == Update::Complete, targets.len());
                 let taken = DiscoveryEvent::ListTaken {
@@ -304,6 +309,21 @@
         }
     }
 
+    /// Whether a list may predate word that a target leaves: it has an older revision than another one
+    /// before it, as from a replica of discovery that still catches up. Where that goes on for long,
+    /// discovery has restarted its numbering.
+    fn is_behind(&mut self, revision: u64) -> bool {
+        let now = self.gateway.now();
+        if revision < self.highest_revision {
+            let since = *self.behind_since.get_or_insert(now);
+            if now - since < MAX_LIST_LAG_MS {
+                return true;
+            }
+        }
+        (self.highest_revision, self.behind_since) = (revision, None);
+        false
+    }
+
     /// Requests the complete list if entries could not be decoded, but only once per revision, as
     /// they may be undecodable in the complete list too.
     fn check_unreadable_entries(&mut self, unreadable_entries: usize) -> Result<(), CallEnd> {
--- a/crates/transport/src/gateway.rs
+++ b/crates/transport/src/gateway.rs
@@ -200,10 +200,10 @@
             update,
             &mut targets,
         );
-        if outdated {
-            self.host.borrow().preserve_leaving(&mut targets);
-        }
-        self.timed(Activity::List, |host, now| host.update_targets(now, update, &targets));
+        self.timed(Activity::List, |host, now| match outdated {
+            true => host.update_by_outdated_list(now, update, targets),
+            false => host.update_targets(now, update, &targets),
+        });
         self.execute_orders();
     }
 
