Give half requests of a test ids of their own

a_client_that_makes_room_gets_an_answer_in_time opened nine half requests under one id, eight of which get a 409 since an id is claimed with its head ('0 of 9 clients were told to try again', every time).

--- a/crates/roseproxy/tests/full_client_sockets.rs
+++ b/crates/roseproxy/tests/full_client_sockets.rs
@@ -9,6 +9,7 @@
 use roseproxy_transport::listener::Phase;
 use roseproxy_transport::network::{Network, Tcp};
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
@@ -56,11 +57,14 @@
     request_text("place-order", id, "b").replace("Request-Timeout: 50", &value)
 }
 
-/// Opens `count` connections, sends `text` on each and returns them.
+/// Opens `count` connections, sends `text` on each, with an id of its own, and returns them.
 async fn connect_all(address: SocketAddr, count: usize, text: &str) -> Vec<TcpStream> {
+    static LAST_ID: AtomicUsize = AtomicUsize::new(0);
     let mut clients = Vec::new();
     for _ in 0..count {
-        clients.push(connect_and_send(address, text).await);
+        let id = LAST_ID.fetch_add(1, Ordering::Relaxed);
+        let text = text.replace("Request-Id: half", &format!("Request-Id: half-{id}"));
+        clients.push(connect_and_send(address, &text).await);
     }
     clients
 }
