Capacity's stand-ins try another port if somebody took the free one

Cause, traced: free_port binds a port, frees it and returns it, and the stand-ins bind it later on many loopback addresses; tests that run at the same moment may be given the same one. No process was left over that held a port.

Change: where the port is in use, up to eight others are tried. Other errors are returned as before.

--- a/crates/capacity/src/stand_ins.rs
+++ b/crates/capacity/src/stand_ins.rs
@@ -5,6 +5,7 @@
 use crate::error::{Error, Result};
 use crate::messages::{endpoint_address, list_entry, list_message, Phase};
 use std::future::Future;
+use std::io::ErrorKind;
 use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener as BlockingListener};
 use std::sync::mpsc;
 use std::thread::JoinHandle;
@@ -18,6 +19,13 @@
     move |source| Error::System { resource, source }
 }
 
+/// How often another port is tried.
+const MAX_PORT_RETRIES: usize = 8;
+
+fn is_address_in_use(error: &Error) -> bool {
+    matches!(error, Error::System { source, .. } if source.kind() == ErrorKind::AddrInUse)
+}
+
 /// Returns a port that is free on 127.0.0.1 at the time of the call.
 pub fn free_port() -> Result<u16> {
     let listener = BlockingListener::bind((Ipv4Addr::LOCALHOST, 0)).map_err(system_error("a free port"))?;
@@ -61,9 +69,20 @@
 }
 
 impl StandIns {
-    /// Starts the stand-ins and waits until they listen.
+    /// Starts the stand-ins and waits until they listen. Tries another port if somebody has taken the
+    /// free one before it was bound.
     pub fn start(config: StandInConfig) -> Result<StandIns> {
-        let port = free_port()?;
+        let mut started = StandIns::start_at(free_port()?, config);
+        for _ in 0..MAX_PORT_RETRIES {
+            if !started.as_ref().is_err_and(is_address_in_use) {
+                break;
+            }
+            started = StandIns::start_at(free_port()?, config);
+        }
+        started
+    }
+
+    fn start_at(port: u16, config: StandInConfig) -> Result<StandIns> {
         let address = SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), port);
         let discovery = Discovery::new(address, whole_list(1, config.listed_endpoints, port));
         let (stop, stopped) = oneshot::channel::<()>();
