Give a test of failing calls latency goals that a pause of its process cannot miss

The answer counted as 42 ms late, the only server's forecast was above what a goal of 100 ms allows, and the second request got 503 (refused reason=Crowded).

The test is about calls that fail, and is wrong in letting a refusal for lateness decide it. It now has the base configuration, whose goals are 60 s; each request must still be served, and sent once. It also prints what came instead.

Open: that a sidecar's own pause counts as its server's response time.

--- a/crates/roseproxy/tests/system_calls.rs
+++ b/crates/roseproxy/tests/system_calls.rs
@@ -228,29 +228,24 @@
 }
 
 /// Linux documents that sends may fail for lack of buffers, and receives for lack of memory. Such an error says
-/// nothing about the connection, and every request that was accepted still has to be answered.
+/// nothing about the connection, and every request that was accepted still has to be answered. The latency goals are
+/// so long that a pause of this process is no reason to refuse one.
 #[test]
 fn calls_that_fail_for_lack_of_memory_or_buffers_lose_no_request() {
     for error in [ENOBUFS, ENOMEM] {
         run_local(async {
             let (endpoint, address) = bind_port().await;
             let network = FaultyNetwork::default();
-            let sidecar = start_sidecar_on(
-                network.clone(),
-                config_with_short_latency_goals(),
-                Clock::system(),
-                &[address],
-                20,
-                20,
-            )
-            .await;
+            let sidecar =
+                start_sidecar_on(network.clone(), config(), Clock::system(), &[address], 20, 20).await;
             let served = count_requests(endpoint);
             let mut client = TcpStream::connect(sidecar.address).await.expect("connects");
             exchange(&mut client, &request_text("place-order", "first", "b")).await;
             network.stream_error.set(Some(error));
             for id in ["second", "third"] {
                 let answer = try_exchange(&mut client, &request_text("place-order", id, "b")).await;
-                assert!(answer.is_some_and(|answer| answer.ends_with("priced")), "{id}, error {error}");
+                let served = answer.as_ref().is_some_and(|answer| answer.ends_with("priced"));
+                assert!(served, "{id}, error {error}: {answer:?}");
             }
             assert_eq!(served.get(), 3, "each request is sent once");
         });
