Count the time of a connection's first request from its first byte, and answer what is late

Cause: request_overdue counted a connection's first request from connecting, also once it had begun, where a later one counts from its first byte; and what was late was closed without a word, its rest read for 300 ms.

Change: ConnectionState owns the states of a client connection and their limits (table: docs/design/client-connections.md). A request has 2.5 s from its first byte. A client that has stopped in the middle of its first request is owed an error within 3 s of connecting, so there the limit counts from connecting, unless it is still sending (the rule that evictions already had). What is late gets a 408, and its rest is read until its time is over. A connection on which nothing was sent counts as clients_closed_idle, not requests_late.

--- a/crates/platform/src/answer.rs
+++ b/crates/platform/src/answer.rs
@@ -15,6 +15,10 @@
 pub const NO_SOCKET_RESPONSE: &[u8] =
     b"HTTP/1.1 503 Service Unavailable\r\nconnection: close\r\ncontent-length: 0\r\n\r\n";
 
+/// The response, as sent, to a client whose request did not arrive completely in time.
+pub const LATE_REQUEST_RESPONSE: &[u8] =
+    b"HTTP/1.1 408 Request Timeout\r\nconnection: close\r\ncontent-length: 0\r\n\r\n";
+
 /// Builds a plain-text response of the sidecar itself, as opposed to one of a target.
 pub fn plain_text(status: StatusCode, text: impl Into<Bytes>) -> Reply {
     let mut reply = Response::new(Full::new(text.into()));
--- a/crates/roseproxy/tests/system_calls.rs
+++ b/crates/roseproxy/tests/system_calls.rs
@@ -189,7 +189,9 @@
         let mut client = connect_and_send(sidecar.address, "GET /quote HTTP/1.1\r\nHo").await;
         tokio::time::sleep(Duration::from_millis(1_000)).await;
         network.accept_error.set(None);
-        assert!(read_message(&mut client).await.is_none(), "half a request has no answer");
+        let answer = read_message(&mut client).await.expect("half a request is answered with an error");
+        assert!(answer.starts_with("HTTP/1.1 408 "), "{answer}");
+        assert!(read_message(&mut client).await.is_none(), "the connection is closed");
         let took = started.elapsed();
         assert!(took <= INCOMPLETE_REQUEST_LIMIT, "closed after {took:?}");
     });
--- a/crates/transport/src/client_slot.rs
+++ b/crates/transport/src/client_slot.rs
@@ -1,5 +1,6 @@
-//! The record of one client connection: what its socket is used for, and whether its time is over.
+//! The record of one client connection: what its socket is used for, and whether it has to be given up.
 
+use super::connection_state::{ConnectionState, PartialRequest};
 use super::network::{Peek, PeekResult};
 use super::request_framing::IncomingRequest;
 use roseproxy_routing::flow::FlowId;
@@ -7,59 +8,22 @@
 use std::rc::Rc;
 use tokio::sync::Notify;
 
-/// Time within which a request must be complete after its first byte, and the first request of a
-/// connection after its client connected. Guards against clients that hold a connection with an
-/// incomplete request or with none. The platform's slowest usual client gives a request up sooner.
-pub(super) const REQUEST_TIMEOUT_MS: f64 = 2_500.0;
-/// How long a client may accept no bytes of an answer before its connection is closed, since it
-/// holds a socket for nothing. The client can tell that the answer is incomplete.
-const ANSWER_STALL_TIMEOUT_MS: f64 = 5_000.0;
-
-/// What a client connection uses its socket for.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub(super) enum Occupancy {
-    /// The client has sent nothing so far.
-    Silent {
-        /// When the connection got its socket (ms).
-        since: f64,
-    },
-    /// The connection is between requests, with no answer left to write.
-    Idle {
-        /// When the last request ended (ms).
-        since: f64,
-    },
-    /// A request has arrived in part.
-    Receiving {
-        /// When a part of it last arrived (ms).
-        last_input_at: f64,
-        /// The longest time between two parts of it (ms).
-        longest_pause: f64,
-    },
-    /// A request is being processed, or its answer is being written.
-    Answering,
-    /// The connection has ended, and what its client still sends is discarded.
-    Draining {
-        /// When the connection ended (ms).
-        since: f64,
-    },
-}
-
 /// The listener's record of a client connection.
 pub(super) struct ClientSlot {
     /// Inspects the unread input of the connection.
     pub peek: Peek,
-    /// Since when no request is in progress (ms); `None` during a request.
+    /// Since when no request is in progress (ms); `None` once the head of one has arrived.
     pub idle_since: Cell<Option<f64>>,
     /// Since when answer bytes have been waiting to be written (ms): an answer handed to hyper is
     /// not yet sent.
     pub write_blocked_since: Rc<Cell<Option<f64>>>,
     /// The earliest time at which the client may have connected (ms).
-    pub earliest_connect_at: f64,
-    /// How long the first input may have waited to be read (ms): the client's time limit is already
-    /// reduced by that much.
+    earliest_connect_at: f64,
+    /// How long the input of the first request may have waited to be read (ms): the client's time
+    /// limit is already reduced by that much.
     pub read_delay: Cell<f64>,
-    /// Whether a complete request head has been received.
-    pub had_request: Cell<bool>,
+    /// Whether a request has been answered.
+    pub has_answered: Cell<bool>,
     /// The request being received.
     pub incoming: Rc<IncomingRequest>,
     /// The flow in progress, whose client may leave.
@@ -74,7 +38,7 @@
     pub close_requested: Cell<bool>,
     /// What the socket was used for when the connection, which had no complete request, was chosen
     /// to give it up for another client.
-    eviction_requested: Cell<Option<Occupancy>>,
+    eviction_requested: Cell<Option<ConnectionState>>,
     /// Since when the connection has ended and its input is discarded (ms).
     pub draining_since: Cell<Option<f64>>,
     /// Whether unread bytes may be left after the last answer.
@@ -99,7 +63,7 @@
             write_blocked_since: Rc::default(),
             earliest_connect_at,
             read_delay: Cell::new(read_delay),
-            had_request: Cell::new(false),
+            has_answered: Cell::new(false),
             incoming: Rc::default(),
             open_flow: Cell::new(None),
             awaiting_memory: Cell::new(false),
@@ -124,66 +88,45 @@
         self.open_flow.get().is_some() || self.discarding_input.get()
     }
 
+    /// The request that has arrived in part, if there is one.
+    pub fn partial_request(&self) -> Option<PartialRequest> {
+        Some(PartialRequest {
+            started_at: self.incoming.started_at()? - self.read_delay.get(),
+            last_input_at: self.incoming.last_input_at()?,
+            longest_pause: self.incoming.longest_pause(),
+            first_after_connect_at: (!self.has_answered.get()).then_some(self.earliest_connect_at),
+        })
+    }
+
     /// What the connection uses its socket for.
-    pub fn occupancy(&self) -> Occupancy {
+    pub fn state(&self) -> ConnectionState {
         if let Some(since) = self.draining_since.get() {
-            return Occupancy::Draining { since };
+            return ConnectionState::Draining { since };
         }
-        let request_in_hand = self.has_whole_request() || self.awaiting_memory.get();
-        if self.write_blocked_since.get().is_some() || request_in_hand {
-            return Occupancy::Answering;
+        if let Some(blocked_since) = self.write_blocked_since.get() {
+            return ConnectionState::Writing { blocked_since };
         }
-        if let Some(last_input_at) = self.incoming.last_input_at() {
-            let longest_pause = self.incoming.longest_pause();
-            return Occupancy::Receiving { last_input_at, longest_pause };
+        if self.has_whole_request() || self.awaiting_memory.get() {
+            return ConnectionState::Processing;
         }
-        match self.idle_since.get() {
-            Some(since) if self.had_request.get() => Occupancy::Idle { since },
-            Some(since) => Occupancy::Silent { since },
-            None => Occupancy::Answering,
+        if let Some(request) = self.partial_request() {
+            return ConnectionState::Receiving(request);
         }
-    }
-
-    /// Since when the connection has been idle: no request in progress, not even a partial one, and
-    /// no answer left to write.
-    pub fn fully_idle_since(&self) -> Option<f64> {
-        match self.occupancy() {
-            Occupancy::Silent { since } | Occupancy::Idle { since } => Some(since),
-            Occupancy::Receiving { .. } | Occupancy::Answering | Occupancy::Draining { .. } => None,
+        match self.idle_since.get() {
+            Some(since) if self.has_answered.get() => ConnectionState::Idle { since },
+            Some(since) => ConnectionState::Silent { since, connected_at: self.earliest_connect_at },
+            None => ConnectionState::Processing,
         }
     }
 
-    /// Whether a request has taken too long to arrive completely, or the first one to arrive at
-    /// all.
-    pub fn request_overdue(&self, now: f64) -> bool {
-        let Some(since) = self.idle_since.get() else { return false };
-        let started_at = if self.had_request.get() {
-            self.incoming.started_at()
-        } else {
-            Some(self.earliest_connect_at.min(since))
-        };
-        started_at.is_some_and(|started_at| now - started_at >= REQUEST_TIMEOUT_MS)
-    }
-
-    /// Whether the client has accepted no answer bytes for too long.
-    pub fn answer_stalled(&self, now: f64) -> bool {
-        self.write_blocked_since.get().is_some_and(|since| now - since >= ANSWER_STALL_TIMEOUT_MS)
-    }
-
-    /// Closes the connection as soon as it is unused.
-    pub fn request_close(&self) {
-        self.close_requested.set(true);
-        self.recheck.notify_one();
-    }
-
     /// Has the connection give up its socket for another client.
     pub fn request_eviction(&self) {
-        match self.occupancy() {
-            occupancy @ (Occupancy::Silent { .. } | Occupancy::Receiving { .. }) => {
-                self.eviction_requested.set(Some(occupancy));
+        match self.state() {
+            state @ (ConnectionState::Silent { .. } | ConnectionState::Receiving(_)) => {
+                self.eviction_requested.set(Some(state));
             }
-            Occupancy::Idle { .. } | Occupancy::Draining { .. } => self.close_requested.set(true),
-            Occupancy::Answering => {}
+            ConnectionState::Idle { .. } | ConnectionState::Draining { .. } => self.close_requested.set(true),
+            ConnectionState::Processing | ConnectionState::Writing { .. } => {}
         }
         self.recheck.notify_one();
     }
@@ -192,7 +135,7 @@
     /// waits to be read may complete the request.
     pub fn take_eviction(&self) -> bool {
         let requested = self.eviction_requested.take();
-        requested.is_some_and(|occupancy| occupancy == self.occupancy()) && self.input_is_empty()
+        requested.is_some_and(|state| state == self.state()) && self.input_is_empty()
     }
 
     /// Waits until this connection's socket is needed.
--- a/crates/transport/src/client_slots.rs
+++ b/crates/transport/src/client_slots.rs
@@ -2,7 +2,8 @@
 //! one, or for memory.
 
 use super::budget::{Budget, Permit};
-use super::client_slot::{ClientSlot, Occupancy};
+use super::client_slot::ClientSlot;
+use super::connection_state::ConnectionState;
 use super::duration_from_ms;
 use super::memory_budget::Reservation;
 use roseproxy_routing::event_log::SocketUse;
@@ -22,9 +23,6 @@
 /// Minimum of that time, however long a client has waited: a client that has just connected needs
 /// some time to send its request.
 const MIN_INPUT_GRACE_MS: f64 = 10.0;
-/// A request arrives steadily while its client has been silent for at most this many times the
-/// longest pause so far.
-const STEADY_PAUSE_FACTOR: f64 = 2.0;
 /// Longest wait of a client for a socket or of a request for memory. The platform takes a request for lost if its answer comes
 /// more than 500 ms after its time, however little time it has.
 const MAX_WAIT_MS: f64 = 400.0;
@@ -59,16 +57,18 @@
     /// Returns `None` for a connection with a complete request, which keeps its socket until it has
     /// been answered.
     fn new(slot: &Rc<ClientSlot>, now: f64) -> Option<EvictionCandidate> {
-        let (class, quiet_since) = match slot.occupancy() {
-            Occupancy::Silent { since } if now - since >= INPUT_GRACE_MS => (EvictionClass::Unused, since),
-            Occupancy::Silent { since } => (EvictionClass::Incomplete, since),
-            Occupancy::Idle { since } => (EvictionClass::Idle, since),
-            Occupancy::Draining { since } => (EvictionClass::Draining, since),
-            Occupancy::Receiving { last_input_at, longest_pause } => {
-                let steady = now - last_input_at <= STEADY_PAUSE_FACTOR * longest_pause;
-                (if steady { EvictionClass::Steady } else { EvictionClass::Incomplete }, last_input_at)
+        let (class, quiet_since) = match slot.state() {
+            ConnectionState::Silent { since, .. } if now - since >= INPUT_GRACE_MS => {
+                (EvictionClass::Unused, since)
             }
-            Occupancy::Answering => return None,
+            ConnectionState::Silent { since, .. } => (EvictionClass::Incomplete, since),
+            ConnectionState::Idle { since } => (EvictionClass::Idle, since),
+            ConnectionState::Draining { since } => (EvictionClass::Draining, since),
+            ConnectionState::Receiving(request) if request.is_steady(now) => {
+                (EvictionClass::Steady, request.last_input_at)
+            }
+            ConnectionState::Receiving(request) => (EvictionClass::Incomplete, request.last_input_at),
+            ConnectionState::Processing | ConnectionState::Writing { .. } => return None,
         };
         Some(EvictionCandidate { class, quiet_since, slot: slot.clone() })
     }
@@ -206,12 +206,12 @@
     /// What the sockets are used for.
     pub fn socket_use(&self) -> SocketUse {
         let mut socket_use = SocketUse::default();
-        self.for_each(|slot| match slot.occupancy() {
-            Occupancy::Silent { .. } => socket_use.silent += 1,
-            Occupancy::Idle { .. } => socket_use.idle += 1,
-            Occupancy::Receiving { .. } => socket_use.receiving += 1,
-            Occupancy::Answering => socket_use.answering += 1,
-            Occupancy::Draining { .. } => socket_use.draining += 1,
+        self.for_each(|slot| match slot.state() {
+            ConnectionState::Silent { .. } => socket_use.silent += 1,
+            ConnectionState::Idle { .. } => socket_use.idle += 1,
+            ConnectionState::Receiving(_) => socket_use.receiving += 1,
+            ConnectionState::Processing | ConnectionState::Writing { .. } => socket_use.answering += 1,
+            ConnectionState::Draining { .. } => socket_use.draining += 1,
         });
         socket_use
     }
--- a/crates/transport/src/lib.rs
+++ b/crates/transport/src/lib.rs
@@ -19,6 +19,7 @@
 mod client_slots;
 mod client_stream;
 pub mod connection;
+mod connection_state;
 pub mod connector;
 mod counters;
 pub mod discovery;
--- a/crates/transport/src/listener.rs
+++ b/crates/transport/src/listener.rs
@@ -2,9 +2,10 @@
 
 use super::acceptor::{AcceptedClient, Acceptor};
 use super::budget::{Budget, Permit};
-use super::client_slot::{ClientSlot, REQUEST_TIMEOUT_MS};
+use super::client_slot::ClientSlot;
 use super::client_slots::{ClientSlots, INPUT_GRACE_MS};
 use super::client_stream::ClientStream;
+use super::connection_state::{ConnectionState, LINGER_TIMEOUT_MS};
 use super::counters::increment;
 use super::event_loop_lag::{EventLoopLag, TICK_PERIOD_MS};
 use super::gateway::Gateway;
@@ -25,7 +26,8 @@
 use hyper::{Request, StatusCode};
 use hyper_util::rt::TokioIo;
 use roseproxy_platform::answer::{
-    malformed_request, plain_text, set_connection_close, to_reply, Reply, NO_SOCKET_RESPONSE,
+    malformed_request, plain_text, set_connection_close, to_reply, Reply, LATE_REQUEST_RESPONSE,
+    NO_SOCKET_RESPONSE,
 };
 use roseproxy_platform::request::{exceeds_body_limit, ForwardedRequest, Malformed};
 use roseproxy_platform::MAX_BODY_BYTES;
@@ -33,23 +35,12 @@
 use roseproxy_routing::flow::{Answer, FlowId};
 use std::cell::Cell;
 use std::convert::Infallible;
+use std::future::Future;
 use std::pin::pin;
 use std::rc::Rc;
-use std::time::Duration;
 use tokio::io::{AsyncRead, AsyncWrite};
 
-/// Minimum of a request's time left for its body if the head arrived late.
-const MIN_BODY_TIMEOUT_MS: f64 = 250.0;
-/// Idle time between requests after which a connection is closed, while more than half of the
-/// client sockets are in use.
-const CROWDED_IDLE_TIMEOUT_MS: f64 = 2_000.0;
-/// The same while at most half are in use. Clients reuse their connections, and one that is idle
-/// for a while should not be closed under its next request; but some clients keep connections and
-/// never send on them again.
-const IDLE_TIMEOUT_MS: f64 = 90_000.0;
-/// How long input is still read and discarded after the last answer.
-const LINGER_TIMEOUT_MS: f64 = 300.0;
-/// Time limit for writing the refusal of a client that has no socket; others wait meanwhile.
+/// Time limit for writing the last answer of a connection that the sidecar ends; a client may wait for its socket.
 const REFUSAL_TIMEOUT_MS: f64 = 10.0;
 /// How long a client has waited for a socket when that is recorded.
 const LONG_WAIT_MS: f64 = 100.0;
@@ -175,7 +166,7 @@
     async fn turn_away(&self, stream: N::AcceptedStream) {
         increment(&self.gateway.counters.clients_turned_away);
         let mut client_stream = ClientStream::new(stream, Rc::default(), self.gateway.clock());
-        close_with_refusal(&mut client_stream).await;
+        close_with(&mut client_stream, NO_SOCKET_RESPONSE).await;
     }
 
     /// Records what the sockets are used for while a client waits for one, at most once a period.
@@ -193,46 +184,56 @@
             tokio::time::sleep(duration_from_ms(TICK_PERIOD_MS)).await;
             let now = self.gateway.now();
             self.event_loop_lag.tick(now);
-            let idle_timeout_ms =
-                if self.slots.is_crowded() { CROWDED_IDLE_TIMEOUT_MS } else { IDLE_TIMEOUT_MS };
+            let crowded = self.slots.is_crowded();
             self.slots.for_each(|slot| {
-                let expired = slot.fully_idle_since().is_some_and(|since| now - since >= idle_timeout_ms);
-                if expired && !slot.close_requested.get() {
-                    increment(&self.gateway.counters.clients_closed_idle);
-                    slot.request_close();
-                } else if slot.request_overdue(now)
-                    || slot.answer_stalled(now)
-                    || self.phase.get() == Phase::Closing
-                {
+                let overdue = slot.state().deadline(crowded).is_some_and(|deadline| now >= deadline);
+                if overdue || self.phase.get() == Phase::Closing {
                     slot.recheck.notify_one();
                 }
             });
         }
     }
 
-    /// Why a connection ends now, if it does. A request counts as accepted once its last byte has
-    /// arrived, whether read or not: a connection may be closed only while nothing is being
-    /// answered and nothing waits to be read or written.
+    /// Why a connection should end, if it should: nothing is being answered on it, or its client does
+    /// not read its answer.
     fn close_reason(&self, slot: &ClientSlot) -> Option<CloseReason> {
         let now = self.gateway.now();
-        if slot.answer_stalled(now) {
+        let state = slot.state();
+        let overdue = state.deadline(self.slots.is_crowded()).is_some_and(|deadline| now >= deadline);
+        if overdue && matches!(state, ConnectionState::Writing { .. }) {
             return Some(CloseReason::Stalled);
         }
         if slot.take_eviction() {
             return Some(CloseReason::Evicted);
         }
-        let since = slot
-            .idle_since
-            .get()
-            .filter(|_| slot.write_blocked_since.get().is_none() && slot.input_is_empty())?;
-        if slot.request_overdue(now) {
-            increment(&self.gateway.counters.requests_late);
-            return Some(CloseReason::Late);
+        // While a request is handled, `until_body_deadline` enforces the deadline.
+        slot.idle_since.get()?;
+        let closing = self.phase.get() == Phase::Closing;
+        match state {
+            ConnectionState::Receiving(_) if overdue => Some(CloseReason::Late),
+            ConnectionState::Silent { .. } | ConnectionState::Idle { .. } if overdue => {
+                Some(CloseReason::Idle)
+            }
+            ConnectionState::Idle { .. } if closing => Some(CloseReason::Shutdown),
+            ConnectionState::Silent { since, .. } if closing && now - since >= INPUT_GRACE_MS => {
+                Some(CloseReason::Shutdown)
+            }
+            ConnectionState::Silent { .. } | ConnectionState::Idle { .. } if slot.close_requested.get() => {
+                Some(CloseReason::Idle)
+            }
+            _ => None,
         }
-        let closing =
-            self.phase.get() == Phase::Closing && (slot.had_request.get() || now - since >= INPUT_GRACE_MS);
-        let reason = if closing { CloseReason::Shutdown } else { CloseReason::Idle };
-        (slot.fully_idle_since().is_some() && (slot.close_requested.get() || closing)).then_some(reason)
+    }
+
+    fn count_close(&self, slot: &ClientSlot, reason: CloseReason) {
+        match reason {
+            CloseReason::Late => increment(&self.gateway.counters.requests_late),
+            CloseReason::Idle if !slot.close_requested.get() => {
+                increment(&self.gateway.counters.clients_closed_idle);
+            }
+            _ => {}
+        }
+        self.gateway.client_closed(reason, slot.open_flow.get());
     }
 
     async fn serve(self: &Rc<Self>, slot: &Rc<ClientSlot>, stream: N::AcceptedStream) {
@@ -266,28 +267,48 @@
                     () = client_stream.wait_for_departure(&slot.incoming, || slot.has_whole_request()) => {
                         break CloseReason::Departed;
                     }
-                    () = slot.recheck.notified() => {
-                        if let Some(reason) = self.close_reason(slot) {
-                            break reason;
-                        }
+                    () = slot.recheck.notified() => match self.close_reason(slot) {
+                        Some(reason) if reason == CloseReason::Stalled || slot.input_is_empty() => break reason,
+                        // A request counts as accepted once its last byte has arrived, whether read or not.
+                        // A request counts as accepted once its last byte has arrived, whether read or not.
+                        _ => {}
                     }
                 }
             };
-            self.gateway.client_closed(reason, slot.open_flow.get());
+            self.count_close(slot, reason);
             reason
         };
-        slot.draining_since.set(Some(self.gateway.now()));
-        if reason == CloseReason::Evicted {
-            return close_with_refusal(&mut client_stream).await;
+        let now = self.gateway.now();
+        slot.draining_since.set(Some(now));
+        let partial_request = slot.partial_request();
+        let mut linger_timeout_ms = LINGER_TIMEOUT_MS;
+        match reason {
+            CloseReason::Evicted => return close_with(&mut client_stream, NO_SOCKET_RESPONSE).await,
+            CloseReason::Late => {
+                close_with(&mut client_stream, LATE_REQUEST_RESPONSE).await;
+                // Its client may read the answer only once it has written the rest.
+                linger_timeout_ms = partial_request.map_or(LINGER_TIMEOUT_MS, |r| r.linger_timeout_ms(now));
+            }
+            _ => {}
         }
         // The rest of a partial request, or of one rejected before it was read, is still to arrive.
-        if slot.may_have_unread_input.get() || slot.incoming.started_at().is_some() {
-            tokio::select! {
-                biased;
-                _ = tokio::time::timeout(duration_from_ms(LINGER_TIMEOUT_MS), client_stream.shutdown_and_drain()) => {}
-                // The socket is needed for another client.
-                () = slot.wait_for_close_request() => {}
-            }
+        if slot.may_have_unread_input.get() || partial_request.is_some() {
+            self.linger(slot, &mut client_stream, linger_timeout_ms).await;
+        }
+    }
+
+    /// Reads on after the last answer, for `timeout_ms` at most or until the socket is needed for another client.
+    async fn linger<S: AsyncRead + AsyncWrite + Unpin>(
+        &self,
+        slot: &ClientSlot,
+        client_stream: &mut ClientStream<S>,
+        timeout_ms: f64,
+    ) {
+        let drained = tokio::time::timeout(duration_from_ms(timeout_ms), client_stream.shutdown_and_drain());
+        tokio::select! {
+            biased;
+            _ = drained => {}
+            () = slot.wait_for_close_request() => {}
         }
     }
 
@@ -296,11 +317,8 @@
         slot: Rc<ClientSlot>,
         request: Request<Body>,
     ) -> Result<Reply, Infallible> {
-        let started_at =
-            slot.incoming.started_at().or(slot.idle_since.take()).unwrap_or_else(|| self.gateway.now());
-        let sent_at = if slot.had_request.get() { started_at } else { started_at - slot.read_delay.get() };
+        let sent_at = slot.partial_request().map_or_else(|| self.gateway.now(), |partial| partial.started_at);
         slot.idle_since.set(None);
-        slot.had_request.set(true);
         let mut reply = match request.uri().path() {
             // Which of the two headers counts depends on the reader, and a body that ends early for
             // one of them hides another request.
@@ -329,6 +347,8 @@
         }
         slot.last_answer_given.set(reply.headers().contains_key(CONNECTION));
         slot.incoming.reset();
+        slot.has_answered.set(true);
+        slot.read_delay.set(0.0);
         slot.idle_since.set(Some(self.gateway.now()));
         Ok(reply)
     }
@@ -349,7 +369,7 @@
         let mut new = self.gateway.classes.read(&parts)?;
         // The client's time limit counts from the moment of sending.
         new.time_left -=
-            slot.read_delay.take().max(self.event_loop_lag.possible_read_delay(self.gateway.now()));
+            slot.read_delay.get().max(self.event_loop_lag.possible_read_delay(self.gateway.now()));
         if exceeds_body_limit(&parts.headers) {
             return Err(TOO_LARGE);
         }
@@ -365,7 +385,7 @@
         let asked_at = self.gateway.now();
         let total = head_bytes + body_bytes + MAX_BODY_BYTES;
         let Some(mut reserved) = self.reserve_memory(slot, sent_at, total).await else {
-            return Ok(self.refuse_for_memory(slot, body, sent_at).await);
+            return Ok(self.refuse_for_memory(slot, body).await);
         };
         new.time_left -= self.gateway.now() - asked_at;
         let memory = RequestMemory {
@@ -373,7 +393,7 @@
             answer: reserved.split_off(MAX_BODY_BYTES),
         };
         slot.reading_body.set(true);
-        let body = self.read_request_body(body, sent_at, reserved).await;
+        let body = self.read_request_body(slot, body, reserved).await;
         slot.reading_body.set(false);
         forwarded.body = body?;
         new.time_left -= self.discard_input_behind(slot).await;
@@ -417,11 +437,10 @@
 
     /// Refuses a request for which there is no memory. Its body is read to the end without being kept: a client may
     /// read its answer only once it has written everything.
-    async fn refuse_for_memory(&self, slot: &ClientSlot, body: Body, sent_at: f64) -> Reply {
-        let discard = discard_body(body, MAX_BODY_BYTES);
-        let discarded = tokio::time::timeout(self.body_timeout(sent_at), discard).await;
+    async fn refuse_for_memory(&self, slot: &ClientSlot, body: Body) -> Reply {
+        let discarded = self.until_body_deadline(slot, discard_body(body, MAX_BODY_BYTES)).await;
         let mut reply = self.memory_refusal();
-        if !matches!(discarded, Ok(Ok(()))) {
+        if !matches!(discarded, Some(Ok(()))) {
             slot.may_have_unread_input.set(true);
             set_connection_close(&mut reply);
         }
@@ -433,27 +452,39 @@
         to_reply(Answer::Refused { retry_after: MEMORY_RETRY_AFTER_MS })
     }
 
-    /// Time left for the body of a request of which the first byte was sent at `sent_at` (ms).
-    fn body_timeout(&self, sent_at: f64) -> Duration {
-        let timeout_ms = sent_at + REQUEST_TIMEOUT_MS - self.gateway.now();
-        duration_from_ms(timeout_ms.max(MIN_BODY_TIMEOUT_MS))
+    /// Runs `read`, which reads the body of the request that arrives on this connection, until the body has to be whole.
+    /// Returns `None` if it isn't by then.
+    async fn until_body_deadline<T>(&self, slot: &ClientSlot, read: impl Future<Output = T>) -> Option<T> {
+        let mut read = pin!(read);
+        let began_at = self.gateway.now();
+        loop {
+            // Moves as the body arrives.
+            let deadline = slot.partial_request()?.body_deadline(began_at);
+            let left_ms = deadline - self.gateway.now();
+            if left_ms <= 0.0 {
+                return None;
+            }
+            if let Ok(result) = tokio::time::timeout(duration_from_ms(left_ms), &mut read).await {
+                return Some(result);
+            }
+        }
     }
 
-    /// Reads the body of a request of which the first byte was sent at `sent_at` (ms) into reserved memory.
+    /// Reads the body of the request that arrives on this connection into reserved memory.
     async fn read_request_body(
         &self,
+        slot: &ClientSlot,
         body: Body,
-        sent_at: f64,
         reserved: Reservation,
     ) -> Result<Bytes, Malformed> {
         let held = self.gateway.memory.hold(MessageKind::RequestBody).with_reservation(reserved);
         let read = read_body(body, MAX_BODY_BYTES, held);
         let malformed = |status, reason| Malformed { status, reason };
-        match tokio::time::timeout(self.body_timeout(sent_at), read).await {
-            Ok(Ok(body)) => Ok(body),
-            Ok(Err(BodyError::TooLarge)) => Err(TOO_LARGE),
-            Ok(Err(BodyError::Broken)) => Err(malformed(StatusCode::BAD_REQUEST, "the body is not whole")),
-            Err(_) => Err(malformed(StatusCode::REQUEST_TIMEOUT, "the body is late")),
+        match self.until_body_deadline(slot, read).await {
+            Some(Ok(body)) => Ok(body),
+            Some(Err(BodyError::TooLarge)) => Err(TOO_LARGE),
+            Some(Err(BodyError::Broken)) => Err(malformed(StatusCode::BAD_REQUEST, "the body is not whole")),
+            None => Err(malformed(StatusCode::REQUEST_TIMEOUT, "the body is late")),
         }
     }
 
@@ -482,10 +513,10 @@
     }
 }
 
-/// Ends the connection of a client that has no socket any more, or none yet.
-async fn close_with_refusal<S: AsyncRead + AsyncWrite + Unpin>(client_stream: &mut ClientStream<S>) {
+/// Answers with `response` and ends the connection, whatever its client has sent.
+async fn close_with<S: AsyncRead + AsyncWrite + Unpin>(client_stream: &mut ClientStream<S>, response: &[u8]) {
     // The runtime's budget must not leave input unread. The connection ends in any case.
-    let closed = tokio::task::unconstrained(client_stream.close_with(NO_SOCKET_RESPONSE));
+    let closed = tokio::task::unconstrained(client_stream.close_with(response));
     let _ = tokio::time::timeout(duration_from_ms(REFUSAL_TIMEOUT_MS), closed).await;
 }
 
