Read what waits and look again at once where a late connection has unread input

Seen by test, in virtual time: a head that never ends, 4 bytes every 5 ms, is given up after 20.5 s (its length ends it); 3 s are owed.

Cause: a connection ends only while nothing waits to be read, and is looked at every 50 ms. Where a piece waits each time, the end is put off each time. With pieces between two looks it ends in time; bodies, whose limit is a timer that doesn't look at the socket, do as well.

Change: what waits is read by a turn of the event loop, and the connection is looked at again at once, up to 16 times in a row.

--- a/crates/transport/src/listener.rs
+++ b/crates/transport/src/listener.rs
@@ -42,6 +42,8 @@
 
 /// Time limit for writing the last answer of a connection that the sidecar ends; a client may wait for its socket.
 const REFUSAL_TIMEOUT_MS: f64 = 10.0;
+/// How often in a row the close of a connection is put off by a turn of the event loop, to read what has arrived.
+const MAX_DELAYED_CLOSES: u32 = 16;
 /// How long a client has waited for a socket when that is recorded.
 const LONG_WAIT_MS: f64 = 100.0;
 /// Shortest time between two such records, which share the log's limit of lines with others.
@@ -258,6 +260,7 @@
         // then reports the departure.
         let reason = {
             let mut connection = pin!(connection);
+            let mut delayed_closes = 0;
             let reason = loop {
                 tokio::select! {
                     biased;
@@ -270,8 +273,12 @@
                     () = slot.recheck.notified() => match self.close_reason(slot) {
                         Some(reason) if reason == CloseReason::Stalled || slot.input_is_empty() => break reason,
                         // A request counts as accepted once its last byte has arrived, whether read or not.
-                        // A request counts as accepted once its last byte has arrived, whether read or not.
-                        _ => {}
+                        Some(_) if delayed_closes < MAX_DELAYED_CLOSES => {
+                            delayed_closes += 1;
+                            slot.recheck.notify_one();
+                            tokio::task::yield_now().await;
+                        }
+                        _ => delayed_closes = 0,
                     }
                 }
             };
