End a simulation whose time stands still with an error that names the task

Change: the simulation's clock counts the wake-ups at one instant. After a million, many more than there are tasks, the run ends with an error that names the instant and the line where the task waits that wakes up. Real time moves on between wake-ups and is not concerned.

Test: progress.rs; 1,000 tasks that wake up at the same 20 instants are no standstill.

Only tasks that wait by the simulation's clock are counted: a loop inside a sidecar would not be noticed.

--- a/crates/emulator/src/lib.rs
+++ b/crates/emulator/src/lib.rs
@@ -35,6 +35,7 @@
 pub mod http;
 pub mod memory;
 pub mod misbehaving;
+pub mod progress;
 pub mod result;
 pub mod scenario;
 pub mod schedule;
--- a/crates/emulator/src/simulation/mod.rs
+++ b/crates/emulator/src/simulation/mod.rs
@@ -22,6 +22,7 @@
 use crate::server::Server;
 use servers::{server_seed, DRAW_INITIAL_SERVER_SEED};
 use std::cell::{Cell, RefCell};
+use std::future::Future;
 use std::rc::Rc;
 use tokio::task::{spawn_local, JoinHandle};
 
@@ -99,13 +100,15 @@
     }
 
     /// Waits until a time (ms).
-    pub async fn sleep_until(&self, at: f64) {
-        self.environment.clock.sleep_until(at).await;
+    #[track_caller]
+    pub fn sleep_until(&self, at: f64) -> impl Future<Output = ()> + '_ {
+        self.environment.clock.sleep_until(at)
     }
 
     /// Waits for a duration (ms).
-    pub async fn sleep(&self, millis: f64) {
-        self.environment.clock.sleep(millis).await;
+    #[track_caller]
+    pub fn sleep(&self, millis: f64) -> impl Future<Output = ()> + '_ {
+        self.environment.clock.sleep(millis)
     }
 
     /// Converts a time since the start of the scenario to a time since the start of the simulation (ms).
@@ -128,8 +131,16 @@
         self.members.all()
     }
 
-    /// Runs the scenario to its end; returns the error of the first sidecar that could not be started.
+    /// Runs the scenario to its end; returns the error of the first sidecar that could not be started, or of a
+    /// simulation that is stuck.
     pub async fn run(self: &Rc<Self>) -> Result<(), String> {
+        tokio::select! {
+            result = self.run_to_end() => result,
+            stuck = self.environment.clock.wait_until_stuck() => Err(stuck.to_string()),
+        }
+    }
+
+    async fn run_to_end(self: &Rc<Self>) -> Result<(), String> {
         self.start_services();
         tokio::task::yield_now().await;
         self.start_all().await?;
