Leave a server of the emulator down when it is drained

Found with the model's state printed at the standstill: phase Draining, started None, nothing running. Ruled out by it: rounding of a completion (nothing runs), a speed of zero, a pause that ends in the past (paused_until is 0).

Change: start_drain leaves a process that is down as it is. It is listed as draining and gone as before.

Tests, both failed without the change: a_server_that_is_down_stays_down_when_it_is_drained, a_scenario_ends_that_drains_servers_that_are_down.

--- a/crates/emulator/src/server/mod.rs
+++ b/crates/emulator/src/server/mod.rs
@@ -286,6 +286,13 @@
         self.paused_until = self.paused_until.max(until);
     }
 
+    /// Has the process finish the work that it holds; one that is down stays down.
+    pub fn start_drain(&mut self) {
+        if self.phase == Phase::Up {
+            self.phase = Phase::Draining;
+        }
+    }
+
     /// Stops the process; returns the ids of the jobs that are lost.
     pub fn stop(&mut self) -> Vec<u64> {
         self.phase = Phase::Down;
--- a/crates/emulator/src/simulation/servers.rs
+++ b/crates/emulator/src/simulation/servers.rs
@@ -6,7 +6,7 @@
 use crate::fleet::Member;
 use crate::scenario::FaultKind;
 use crate::schedule::{hashed, Schedule};
-use crate::server::{Phase, Server};
+use crate::server::Server;
 use std::rc::Rc;
 use tokio::task::spawn_local;
 
@@ -55,7 +55,7 @@
 
     /// Drains a server and then stops it; announces both.
     pub(super) async fn drain(self: &Rc<Self>, member: &Rc<Member>) {
-        member.update(self.now(), |m| m.phase = Phase::Draining);
+        member.update(self.now(), Server::start_drain);
         self.announce(member.number, ListedStatus::Terminating, self.schedule.discovery.notice_delay);
         let until =
             self.now() + MIN_DRAIN_MS.max(self.schedule.discovery.notice_delay + DRAIN_AFTER_NOTICE_MS);
--- a/crates/emulator/tests/server.rs
+++ b/crates/emulator/tests/server.rs
@@ -40,6 +40,14 @@
     assert_eq!(ends(&mut server, 1000.0), [(0, 200.0), (1, 200.0), (2, 200.0), (3, 200.0), (4, 300.0)]);
 }
 
+#[test]
+fn a_server_that_is_down_stays_down_when_it_is_drained() {
+    let mut server = server();
+    server.stop();
+    server.start_drain();
+    assert_eq!((server.phase, server.next_event()), (Phase::Down, f64::INFINITY));
+}
+
 #[test]
 fn a_full_queue_and_a_drain_reject_jobs() {
     let mut server = server();
--- a/crates/lab/tests/lab.rs
+++ b/crates/lab/tests/lab.rs
@@ -81,6 +81,17 @@
     assert!(text(&output.stdout).contains("BROKEN PushedOver"), "{}", text(&output.stdout));
 }
 
+/// A server that is down when it is drained has no next event; its model must not wake up without an end.
+#[test]
+fn a_scenario_ends_that_drains_servers_that_are_down() {
+    let (folder, out) = folder();
+    let loss = "[[trouble]]\nkind = 'zone-loss'\nat_s = 0.5\nlen_s = 5\nsilent = false\n";
+    let drains = "[[trouble]]\nkind = 'shrink'\nat_s = 3.5\nlen_s = 2\npart = 0.6\n";
+    let scenario = short_scenario(folder.path(), &format!("{loss}{drains}"));
+    let output = lab(&["run", &scenario, "--out", &out]);
+    assert_ne!(output.status.code(), Some(2), "{}", text(&output.stderr));
+}
+
 #[test]
 fn scenarios_found_by_a_swarm_break_no_rule_any_more() {
     for entry in std::fs::read_dir(root().join("lab/found")).expect("the folder").flatten() {
