--- a/crates/decision/src/policy.rs
+++ b/crates/decision/src/policy.rs
@@ -111,7 +111,9 @@
             }
             Event::StreamStarted { request } => self.on_stream_started(request),
             Event::ClientLeft { request } => self.forget_request(request),
-            Event::Timer { token } => self.on_timer(token >> TIMER_PURPOSE_BITS, token & 7),
+            Event::Timer { token } => {
+                self.on_timer(token >> TIMER_PURPOSE_BITS, token & ((1 << TIMER_PURPOSE_BITS) - 1))
+            }
             Event::ProbeEnded { server, outcome, load, .. } => {
                 let Some(&slot) = self.slot_by_id.get(&server) else { return };
                 self.servers[slot].probe_in_flight = false;
--- a/crates/roseproxy/tests/common/mod.rs
+++ b/crates/roseproxy/tests/common/mod.rs
@@ -231,6 +231,14 @@
     requests
 }
 
+/// Connects a client whose small writes leave at once: the system must not hold one back in real time while a paused
+/// clock runs on.
+pub async fn connect_without_delay(sidecar: SocketAddr) -> TcpStream {
+    let client = TcpStream::connect(sidecar).await.expect("connects");
+    client.set_nodelay(true).expect("a socket");
+    client
+}
+
 /// Sends a request and returns its answer; panics if no whole answer comes.
 pub async fn exchange(client: &mut TcpStream, text: &str) -> String {
     client.write_all(text.as_bytes()).await.expect("the sidecar reads");
--- a/crates/roseproxy/tests/dribbled_input.rs
+++ b/crates/roseproxy/tests/dribbled_input.rs
@@ -70,9 +70,7 @@
             let (endpoint, address) = bind_port().await;
             let served = count_requests(endpoint);
             let sidecar = start_sidecar(&[address], ROOM).await;
-            let mut stream = TcpStream::connect(sidecar.address).await.expect("connects");
-            // The system must not hold a piece back in real time while the paused clock runs on.
-            stream.set_nodelay(true).expect("a socket");
+            let mut stream = connect_without_delay(sidecar.address).await;
             let began = Instant::now();
             let answer = send_slowly(&input, &mut stream).await;
             let took = began.elapsed();
--- a/crates/roseproxy/tests/slow_requests.rs
+++ b/crates/roseproxy/tests/slow_requests.rs
@@ -123,8 +123,8 @@
         pieces
     }
 
-    /// The last moment, from connecting, at which the sidecar may still wait for more (ms), if the pieces after `now` are
-    /// not written any more.
+    /// The last moment, from connecting, at which the sidecar may still wait for more (ms), if nothing follows the
+    /// pieces that were written at these times.
     fn limit_after(&self, written_at: &[u64]) -> u64 {
         let (first, last) = (written_at[0], written_at[written_at.len() - 1]);
         let longest_pause = written_at.windows(2).map(|pair| pair[1] - pair[0]).max().unwrap_or(0);
@@ -170,9 +170,7 @@
     let (endpoint, address) = bind_port().await;
     let served = count_requests(endpoint);
     let sidecar = start_sidecar(&[address], ROOM).await;
-    let mut client = TcpStream::connect(sidecar.address).await.expect("connects");
-    // The system must not hold a piece back in real time while the paused clock runs on.
-    client.set_nodelay(true).expect("a socket");
+    let mut client = connect_without_delay(sidecar.address).await;
     let connected_at = Instant::now();
     if script.asked_before {
         exchange(&mut client, &request_text("place-order", "before", "b")).await;
--- a/crates/transport/src/connection_state.rs
+++ b/crates/transport/src/connection_state.rs
@@ -103,7 +103,7 @@
 impl ConnectionState {
     /// When the connection has been in this state for too long (ms); `None` where another part of the program limits
     /// the time. `crowded` says whether most client sockets are in use.
-    pub fn deadline(&self, crowded: bool) -> Option<f64> {
+    fn deadline(&self, crowded: bool) -> Option<f64> {
         match *self {
             ConnectionState::Silent { since, connected_at } => {
                 Some(connected_at.min(since) + REQUEST_TIMEOUT_MS)
@@ -116,4 +116,9 @@
             ConnectionState::Processing | ConnectionState::Draining { .. } => None,
         }
     }
+
+    /// Whether the connection has been in this state for too long.
+    pub fn is_overdue(&self, now: f64, crowded: bool) -> bool {
+        self.deadline(crowded).is_some_and(|deadline| now >= deadline)
+    }
 }
--- a/crates/transport/src/listener.rs
+++ b/crates/transport/src/listener.rs
@@ -188,8 +188,7 @@
             self.event_loop_lag.tick(now);
             let crowded = self.slots.is_crowded();
             self.slots.for_each(|slot| {
-                let overdue = slot.state().deadline(crowded).is_some_and(|deadline| now >= deadline);
-                if overdue || self.phase.get() == Phase::Closing {
+                if slot.state().is_overdue(now, crowded) || self.phase.get() == Phase::Closing {
                     slot.recheck.notify_one();
                 }
             });
@@ -201,7 +200,7 @@
     fn close_reason(&self, slot: &ClientSlot) -> Option<CloseReason> {
         let now = self.gateway.now();
         let state = slot.state();
-        let overdue = state.deadline(self.slots.is_crowded()).is_some_and(|deadline| now >= deadline);
+        let overdue = state.is_overdue(now, self.slots.is_crowded());
         if overdue && matches!(state, ConnectionState::Writing { .. }) {
             return Some(CloseReason::Stalled);
         }
